--- a/coder/code.go
+++ b/coder/code.go
@@ -217,6 +217,9 @@
 	Detail string
 	// RetryAfter is positive if the same request may succeed after that time.
 	RetryAfter time.Duration
+	// NotProposed is true if nothing was proposed for this sending. An earlier
+	// one under the same RequestID may have been accepted all the same.
+	NotProposed bool
 	// Leader is the address of the leading replica, if Code is NotLeader and
 	// the leader is known.
 	Leader string
--- a/internal/cellrunner/beat.go
+++ b/internal/cellrunner/beat.go
@@ -52,6 +52,7 @@
 		return answer
 	}
 	held.drain(ctx, beat.Worker.Name)
+	answer.Stay = held.handover.pending(beat.Worker.Name, held.runsElsewhere)
 	held.instruct(beat, &answer)
 	return answer
 }
--- a/internal/cellrunner/leadership.go
+++ b/internal/cellrunner/leadership.go
@@ -29,7 +29,8 @@
 	// refused takes back the proposals that came to nothing.
 	refused chan *applier.Command
 	// slots bounds the proposals of the leader's own that are under way.
-	slots chan struct{}
+	slots    chan struct{}
+	handover handover
 }
 
 const (
--- a/internal/entryrunner/admission.go
+++ b/internal/entryrunner/admission.go
@@ -32,6 +32,7 @@
 func busy(detail string) *coder.Refusal {
 	refusal := coder.Refuse(coder.NotServing, "%s", detail)
 	refusal.RetryAfter = comeBack
+	refusal.NotProposed = true
 	return refusal
 }
 
--- a/internal/launcher/graceful_test.go
+++ b/internal/launcher/graceful_test.go
@@ -139,6 +139,10 @@
 // drainMost is how long after it said that it leaves a worker may get new work.
 const drainMost = 2 * time.Second
 
+// loadPause keeps a load at 100 submissions a second, half of what an entry
+// takes from one client account.
+const loadPause = 10 * time.Millisecond
+
 func TestLeavingWorkerIsDrainedUnderLoad(t *testing.T) {
 	path := startPath(t, launcher.Worker{Name: "w1", DataCentre: "dc1", Rack: "r1"}, launcher.Worker{Name: "w2", DataCentre: "dc2", Rack: "r1"})
 	path.submit("first", 4, time.Second)
@@ -151,7 +155,10 @@
 		stopped(path.c, path.fleet.Workers[0])
 	}()
 	var jobs []modeller.JobID
+	pace := time.NewTicker(loadPause)
+	defer pace.Stop()
 	for number := 0; number < 20 || !over(ended) || time.Since(left) < drainMost; number++ {
+		<-pace.C
 		jobs = append(jobs, path.submit(fmt.Sprint("load-", number), 1, 200*time.Millisecond))
 	}
 	for _, job := range jobs {
--- a/internal/standinrunner/worker.go
+++ b/internal/standinrunner/worker.go
@@ -31,6 +31,8 @@
 	// attempts holds every attempt ever heard of, so that none is run twice.
 	attempts map[messenger.AttemptKey]*attempt
 	leaving  bool
+	// stay is true while the cell wants a leaving worker to wait.
+	stay bool
 	// gone is true once the worker runs nothing and never will.
 	gone bool
 }
@@ -254,6 +256,7 @@
 	worker.mutex.Lock()
 	worker.renew(worker.deadline(answer.Deadline, answer.Span))
 	worker.told = answer.Interval
+	worker.stay = answer.Stay
 	worker.known = true
 	for at := range beat.Reports {
 		worker.settle(&beat.Reports[at], answer.Done)
@@ -299,11 +302,14 @@
 	return max(worker.settings.BeatInterval, time.Duration(worker.told)*time.Millisecond)
 }
 
-// part reports whether nothing runs and nothing remains to be reported. From
-// then on the worker takes no start.
+// part reports whether nothing runs, nothing remains to be reported, and what
+// was handed on runs elsewhere. From then on the worker takes no start.
 func (worker *worker) part() bool {
 	worker.mutex.Lock()
 	defer worker.mutex.Unlock()
+	if worker.stay {
+		return false
+	}
 	for _, attempt := range worker.attempts {
 		if attempt.running || attempt.final != nil {
 			return false
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -121,6 +121,7 @@
 func (limiter *Limiter) refuse(after time.Duration, format string, args ...any) *coder.Refusal {
 	refusal := coder.Refuse(coder.Overloaded, format, args...)
 	refusal.RetryAfter = max(after, time.Millisecond)
+	refusal.NotProposed = true
 	return refusal
 }
 
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -105,3 +105,16 @@
 		}
 	})
 }
+
+// TestARefusalSaysThatNothingWasProposed expects what holds for this sending
+// alone: an earlier one under the same RequestID may have been accepted.
+func TestARefusalSaysThatNothingWasProposed(t *testing.T) {
+	c := qt.New(t)
+	limiter := limiter.New(limiter.Config{Rate: 1, Burst: 1, MostInFlight: 10})
+	_, refusal := limiter.Admit("desk", true)
+	c.Assert(refusal == nil, qt.IsTrue)
+	_, refusal = limiter.Admit("desk", true)
+	c.Assert(refusal != nil, qt.IsTrue)
+	c.Check(refusal.NotProposed, qt.IsTrue)
+	c.Check(refusal.Code.Row().NotRun, qt.IsFalse)
+}
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -88,6 +88,9 @@
 	// Span is how long the lease runs on from now, for a worker that cannot
 	// state its clock.
 	Span modeller.Millis `json:",omitzero" cbor:",omitzero"`
+	// Stay is true while a service that a leaving worker handed on does not run
+	// elsewhere yet; the worker is not to end before.
+	Stay bool `json:",omitzero" cbor:",omitzero"`
 	// Done lists the reports that need not be sent again.
 	Done   []ReportKey  `json:",omitempty" cbor:",omitempty"`
 	Starts []Start      `json:",omitempty" cbor:",omitempty"`
--- a/responder/responder.go
+++ b/responder/responder.go
@@ -24,7 +24,10 @@
 	Name string
 	// NotRun is true only if nothing was run for the request.
 	NotRun bool
-	Detail string `json:",omitempty"`
+	// NotProposed is true if nothing was proposed for this sending, while an
+	// earlier one under the same RequestID may have been accepted.
+	NotProposed bool   `json:",omitempty"`
+	Detail      string `json:",omitempty"`
 	// RetryAfterMillis is positive if the same request may succeed later.
 	RetryAfterMillis int64             `json:",omitempty"`
 	Job              modeller.JobID    `json:",omitempty"`
@@ -69,6 +72,7 @@
 		Code:             refusal.Code,
 		Name:             row.Name,
 		NotRun:           row.NotRun,
+		NotProposed:      refusal.NotProposed,
 		Detail:           refusal.Detail,
 		RetryAfterMillis: refusal.RetryAfter.Milliseconds(),
 		Faults:           faults,
