--- /dev/null
+++ b/allotter/allotter.go
@@ -0,0 +1,323 @@
+// Package allotter owns the policy for staged jobs: which waiting step goes
+// next, on which workers, and which workers an adviser is asked about.
+//
+// It answers a load of short urgent jobs beside wide gangs and long batch steps
+// on a fleet that is nearly full. Steps that can still be on time go first, the
+// one whose latest start is nearest before the others; then those that are late;
+// then those that nobody waits for any more. It proposes and decides nothing:
+// package stager checks each placement in full.
+//
+// An Allotter works on a view that its owner gives it and keeps no state, so it
+// can be tested without a network and replayed.
+package allotter
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/dotterelrill/dotterelrill/modeller"
+	"github.com/dotterelrill/dotterelrill/stager"
+)
+
+// Candidate is a worker that may get work now.
+type Candidate struct {
+	Worker *stager.Worker
+	// Doubt counts recent failures that speak against the worker; those with
+	// less are taken first.
+	Doubt int
+}
+
+// Approval is what an adviser has said about a step.
+type Approval struct {
+	// Tickets holds the workers that may run the step.
+	Tickets map[modeller.WorkerName]Ticket
+	// Refused holds the lives of workers that may not.
+	Refused map[modeller.WorkerName]stager.Life
+	// Asking is true while a question is under way.
+	Asking bool
+}
+
+// Ticket is leave to run a step on a worker.
+type Ticket struct {
+	Ticket stager.Ticket
+	Life   stager.Life
+	// Until is when the ticket is no longer to be used, on the clock of Now.
+	Until modeller.Millis
+}
+
+// Question asks an adviser which workers may run a step.
+type Question struct {
+	Step    stager.StepID
+	Workers []modeller.WorkerName
+}
+
+// Config is the view that an Allotter works on.
+type Config struct {
+	State *stager.State
+	// Now is the time of day, and Elapsed the clock that tickets run on.
+	Now, Elapsed modeller.Millis
+	Candidates   []Candidate
+	// Approval returns what is known of a step, never nil.
+	Approval func(stager.StepID) *Approval
+	// Place carries a placement out on the State or refuses it.
+	Place func(*stager.Place) error
+	// Ask passes a question on.
+	Ask func(Question)
+}
+
+// Allotter goes through the waiting steps once.
+type Allotter struct {
+	config Config
+}
+
+// New returns an allotter for one pass.
+func New(config Config) *Allotter { return &Allotter{config: config} }
+
+// lateAfter is how many objectives after its submission nobody waits for a job
+// any more.
+const lateAfter = 3
+
+// waiting is a step that could start if it had room.
+type waiting struct {
+	job   *stager.Job
+	queue *stager.Queue
+	id    stager.StepID
+	step  *stager.Step
+	tasks []uint32
+	// urgency is 0 while the job can be on time, 1 if it is late and 2 if
+	// nobody waits for it any more.
+	urgency int
+	// latest is when the step has to start for its job to be on time.
+	latest modeller.Millis
+}
+
+// Run proposes placements and questions in the order of the waiting steps.
+func (allotter *Allotter) Run() {
+	for _, step := range allotter.order() {
+		allotter.serve(step)
+	}
+}
+
+// order returns the steps that wait for nothing but room.
+func (allotter *Allotter) order() []*waiting {
+	var steps []*waiting
+	for _, job := range allotter.config.State.Open() {
+		steps = allotter.readySteps(steps, job)
+	}
+	slices.SortStableFunc(steps, func(left, right *waiting) int {
+		return cmp.Or(cmp.Compare(left.urgency, right.urgency), cmp.Compare(left.latest, right.latest))
+	})
+	return steps
+}
+
+func (allotter *Allotter) readySteps(steps []*waiting, job *stager.Job) []*waiting {
+	queue := allotter.config.State.Queues[job.Queue]
+	for occurrence := range job.Occurrences() {
+		due := job.Schedule.Due(occurrence)
+		if due > allotter.config.Now {
+			return steps
+		}
+		for at := range uint32(len(job.Steps)) {
+			if job.Undone(occurrence, at) == 0 || !job.Ready(occurrence, at) {
+				continue
+			}
+			if tasks := job.Waiting(occurrence, at); len(tasks) > 0 {
+				made := &waiting{job: job, queue: queue, id: stager.StepID{Job: job.ID, Occurrence: occurrence, Step: at}, step: &job.Steps[at], tasks: tasks}
+				allotter.rate(made, max(due, job.Accepted))
+				steps = append(steps, made)
+			}
+		}
+	}
+	return steps
+}
+
+// rate works out how urgent a step is.
+func (allotter *Allotter) rate(step *waiting, begun modeller.Millis) {
+	objective := modeller.Millis(step.queue.Slack*float64(step.job.LongestChain())) + step.queue.Allowance
+	step.latest = begun + objective - step.job.Chain(step.id.Step)
+	switch {
+	case allotter.config.Now > begun+lateAfter*objective:
+		step.urgency = 2
+	case allotter.config.Now > step.latest:
+		step.urgency = 1
+	}
+}
+
+// serve places what it can of a step, and asks about workers if that is what
+// it lacks.
+func (allotter *Allotter) serve(step *waiting) {
+	if !step.step.Size.Fits(allotter.config.State.Room(step.job.ClientAccount)) {
+		return
+	}
+	options := allotter.options(step)
+	if step.queue.Advised == nil {
+		allotter.place(step, options)
+		return
+	}
+	approval := allotter.config.Approval(step.id)
+	ticketed, known, unknown := allotter.split(approval, options)
+	placed := allotter.place(step, ticketed)
+	if left := len(step.tasks) - placed; left > 0 && !approval.Asking {
+		allotter.ask(step, left, len(ticketed), known, unknown)
+	}
+}
+
+// options returns the workers that could take one task, best first.
+func (allotter *Allotter) options(step *waiting) []Candidate {
+	var fitting []Candidate
+	held := step.step.Held()
+	for _, candidate := range allotter.config.Candidates {
+		worker := candidate.Worker
+		if worker.Pool == step.queue.Pool && worker.Bears(step.step.Label) && held.Fits(worker.Capacity.Sub(worker.Used())) {
+			fitting = append(fitting, candidate)
+		}
+	}
+	slices.SortStableFunc(fitting, func(left, right Candidate) int {
+		return cmp.Or(cmp.Compare(left.Doubt, right.Doubt),
+			cmp.Compare(farness(step.step, left.Worker), farness(step.step, right.Worker)),
+			cmp.Compare(free(left.Worker), free(right.Worker)))
+	})
+	return fitting
+}
+
+// farness is 1 on workers that are far from a step's data.
+func farness(step *stager.Step, worker *stager.Worker) int {
+	if step.DataRack != "" && worker.Rack != step.DataRack {
+		return 1
+	}
+	return 0
+}
+
+// free is what a worker has left, by its scarcer resource in thousandths.
+func free(worker *stager.Worker) int64 {
+	left := worker.Capacity.Sub(worker.Used())
+	return min(left.MilliProcessors*1000/max(1, worker.Capacity.MilliProcessors), left.MemoryMiB*1000/max(1, worker.Capacity.MemoryMiB))
+}
+
+// split tells apart the workers with a ticket, those that were approved but
+// whose ticket has lapsed, and those that were never asked about.
+func (allotter *Allotter) split(approval *Approval, options []Candidate) (ticketed, known, unknown []Candidate) {
+	for _, option := range options {
+		worker := option.Worker
+		ticket, approved := approval.Tickets[worker.Name]
+		switch {
+		case approved && ticket.Life == worker.Life && allotter.config.Elapsed < ticket.Until:
+			ticketed = append(ticketed, option)
+		case approved && ticket.Life == worker.Life:
+			known = append(known, option)
+		case approval.Refused[worker.Name] != worker.Life:
+			unknown = append(unknown, option)
+		}
+	}
+	return ticketed, known, unknown
+}
+
+// place puts as many tasks as fit on the options, a gang's only all together.
+// It returns how many were placed.
+func (allotter *Allotter) place(step *waiting, options []Candidate) int {
+	if len(options) == 0 {
+		return 0
+	}
+	if step.step.Gang && step.step.OneRack {
+		options = allotter.oneRack(step, options)
+	}
+	proposed := allotter.assign(step, options)
+	if len(proposed.Tasks) == 0 || step.step.Gang && len(proposed.Tasks) < len(step.tasks) {
+		return 0
+	}
+	if allotter.config.Place(proposed) != nil {
+		return 0
+	}
+	return len(proposed.Tasks)
+}
+
+// assign fills the options one after the other.
+func (allotter *Allotter) assign(step *waiting, options []Candidate) *stager.Place {
+	place := &stager.Place{Step: step.id}
+	approval := allotter.config.Approval(step.id)
+	room := allotter.config.State.Room(step.job.ClientAccount)
+	held := step.step.Held()
+	at := 0
+	for _, option := range options {
+		worker := option.Worker
+		left := worker.Capacity.Sub(worker.Used())
+		here := worker.OfStep(step.id)
+		for at < len(step.tasks) && held.Fits(left) && step.step.Size.Fits(room) {
+			if step.step.MostPerWorker > 0 && here >= int(step.step.MostPerWorker) {
+				break
+			}
+			id := stager.TaskID{StepID: step.id, Index: step.tasks[at]}
+			place.Tasks = append(place.Tasks, stager.Placed{
+				Index: id.Index, Attempt: step.job.NextAttempt(id),
+				Worker: worker.Name, Life: worker.Life, Ticket: approval.Tickets[worker.Name].Ticket,
+			})
+			left = left.Sub(held)
+			room = room.Sub(step.step.Size)
+			at++
+			here++
+			if held.IsZero() {
+				break
+			}
+		}
+	}
+	return place
+}
+
+// oneRack narrows the options to the rack with the most room, if one holds all
+// of the step.
+func (allotter *Allotter) oneRack(step *waiting, options []Candidate) []Candidate {
+	racks := make(map[modeller.RackName][]Candidate)
+	for _, option := range options {
+		racks[option.Worker.Rack] = append(racks[option.Worker.Rack], option)
+	}
+	var best []Candidate
+	for _, rack := range racks {
+		if len(rack) > len(best) && len(allotter.assign(step, rack).Tasks) == len(step.tasks) {
+			best = rack
+		}
+	}
+	if best != nil {
+		return best
+	}
+	return options
+}
+
+// Bounds of a question. An adviser takes time for each worker named, and
+// approves of a part of them only.
+const (
+	// askedFor is how many workers are named for each that is needed.
+	askedFor = 3
+	askLeast = 6
+	askMost  = 30
+)
+
+// ask names the workers that were approved before, then new ones.
+func (allotter *Allotter) ask(step *waiting, left, ticketed int, known, unknown []Candidate) {
+	tasksEach := 1
+	if len(known)+len(unknown) == 0 {
+		return
+	}
+	if size := step.step.Held(); size.MilliProcessors > 0 {
+		probe := append(slices.Clone(known), unknown...)[0].Worker
+		tasksEach = int(max(1, probe.Capacity.Sub(probe.Used()).MilliProcessors/size.MilliProcessors))
+	}
+	needed := (left + tasksEach - 1) / tasksEach
+	question := Question{Step: step.id}
+	for _, candidate := range known {
+		if len(question.Workers) < needed+1 {
+			question.Workers = append(question.Workers, candidate.Worker.Name)
+		}
+	}
+	if missing := needed - len(question.Workers); missing > 0 || step.step.Gang && len(question.Workers)+ticketed < needed {
+		most := min(askMost, max(askLeast, askedFor*max(1, missing)))
+		for _, candidate := range unknown {
+			if len(question.Workers) >= most {
+				break
+			}
+			question.Workers = append(question.Workers, candidate.Worker.Name)
+		}
+	}
+	if len(question.Workers) > 0 {
+		allotter.config.Ask(question)
+	}
+}
--- a/applier/apply.go
+++ b/applier/apply.go
@@ -132,6 +132,8 @@
 
 func (state *State) dispatch(command *Command) Result {
 	switch {
+	case command.Staged != nil:
+		return state.applyStaged(command.Staged)
 	case command.ApplyTemplate != nil:
 		return state.applyTemplate(command.ApplyTemplate)
 	case command.GrantKey != nil:
--- a/applier/command.go
+++ b/applier/command.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/dotterelrill/dotterelrill/coder"
 	"github.com/dotterelrill/dotterelrill/modeller"
+	"github.com/dotterelrill/dotterelrill/stager"
 )
 
 // Command is the body of one log entry. Exactly one of its pointers is set.
@@ -32,6 +33,8 @@
 	Report        *Report        `cbor:",omitempty"`
 	Refuse        *Refuse        `cbor:",omitempty"`
 	Tick          *Tick          `cbor:",omitempty"`
+	// Staged is a leader's batch about staged jobs.
+	Staged *stager.Batch `json:",omitempty" cbor:",omitempty"`
 }
 
 // ApplyTemplate replaces or creates one template.
--- a/applier/state.go
+++ b/applier/state.go
@@ -24,6 +24,7 @@
 	"github.com/dotterelrill/dotterelrill/coder"
 	"github.com/dotterelrill/dotterelrill/encoder"
 	"github.com/dotterelrill/dotterelrill/modeller"
+	"github.com/dotterelrill/dotterelrill/stager"
 )
 
 // State is everything that must survive. Its exported fields are the snapshot;
@@ -50,6 +51,8 @@
 	// Finished lists the done jobs and remembered requests in the order of
 	// their ending, for retention.
 	Finished []Expiry
+	// Staged is the state of jobs with steps; it is nil until there was one.
+	Staged *stager.State `json:",omitempty" cbor:",omitempty"`
 
 	accounts map[modeller.ClientAccountName]*Account
 	finished finished
@@ -230,6 +233,9 @@
 // rebuild makes the derived fields anew from the exported ones.
 func (state *State) rebuild() {
 	makeMaps(state)
+	if state.Staged != nil {
+		state.Staged.Rebuild()
+	}
 	state.accounts = make(map[modeller.ClientAccountName]*Account)
 	for _, template := range state.Templates {
 		state.account(template.ClientAccount).Template = template
--- /dev/null
+++ b/conductor/attempt.go
@@ -0,0 +1,320 @@
+package conductor
+
+import (
+	"context"
+	"time"
+
+	"github.com/dotterelrill/dotterelrill/internal/logger"
+	"github.com/dotterelrill/dotterelrill/modeller"
+	"github.com/dotterelrill/dotterelrill/stager"
+)
+
+// attemptState is how far an attempt is, as far as the conductor knows.
+type attemptState uint8
+
+const (
+	// placed means that the placement is not committed; nothing was sent.
+	placed attemptState = iota
+	// sent means that a start is under way or was not answered.
+	sent
+	// running means that the worker has said that it runs.
+	running
+)
+
+// attempt is a live attempt on a worker.
+type attempt struct {
+	id     stager.TaskID
+	number modeller.Attempt
+	ticket stager.Ticket
+	state  attemptState
+	// unsure is true if a start was sent whose answer never came, so that the
+	// attempt may begin at any time until its lease is over.
+	unsure bool
+	// adopted is true until the worker has said what became of an attempt that
+	// an earlier leader placed.
+	adopted bool
+	// calling is true while a start or stop is under way, and callAt is when
+	// the next may be sent.
+	calling bool
+	callAt  time.Duration
+	starts  int
+	// stopping is true once the attempt is to end; stopped is when the worker
+	// acknowledged that, zero before.
+	stopping bool
+	stopped  time.Duration
+	// acknowledged is when the worker acknowledged the start.
+	acknowledged time.Duration
+	saved        stager.Checkpoint
+	percent      int
+	// progressed is when the worker last showed more progress.
+	progressed time.Duration
+}
+
+const (
+	// retryPause is how long after an unanswered call it is sent again.
+	retryPause = 200 * time.Millisecond
+	// mostStarts bounds how often an unanswered start is sent, after which the
+	// attempt is stopped and placed elsewhere.
+	mostStarts = 3
+	// stuckAfter is how long a task may show no progress before it is started
+	// elsewhere: more than a gang waits for its members, and several times what
+	// a very slow worker takes for one percent of a long task.
+	stuckAfter = 4 * time.Second
+	percentAll = 100
+)
+
+// remaining estimates how long the attempt still runs.
+func (attempt *attempt) remaining(step *stager.Step) modeller.Millis {
+	return step.RunTime * modeller.Millis(percentAll-attempt.percent) / percentAll
+}
+
+// launch makes the attempts of a placement that the state has taken, and sends
+// their starts once it is committed.
+func (conductor *Conductor) launch(ctx context.Context, place *stager.Place) {
+	type launched struct {
+		link    *link
+		attempt *attempt
+	}
+	all := make([]launched, len(place.Tasks))
+	for at := range place.Tasks {
+		task := &place.Tasks[at]
+		link := conductor.links[task.Worker]
+		made := &attempt{id: stager.TaskID{StepID: place.Step, Index: task.Index}, number: task.Attempt, ticket: task.Ticket}
+		link.attempts[made.id] = made
+		all[at] = launched{link, made}
+		logger.Info(conductor.config.Logger, "task placed", "Task", made.id.String(), "Attempt", made.number, "Worker", task.Worker,
+			"HeardMillisAgo", (conductor.config.Clock() - link.heard).Milliseconds())
+	}
+	conductor.after(func(err error) {
+		if err != nil {
+			return
+		}
+		for _, each := range all {
+			if each.link.attempts[each.attempt.id] == each.attempt {
+				conductor.pursue(ctx, each.link, each.attempt)
+			}
+		}
+	})
+}
+
+// pursue sends what an attempt needs now.
+func (conductor *Conductor) pursue(ctx context.Context, link *link, attempt *attempt) {
+	now := conductor.config.Clock()
+	if attempt.calling || attempt.adopted || now < attempt.callAt {
+		return
+	}
+	switch {
+	case attempt.stopping && attempt.state == placed && !attempt.unsure:
+		conductor.endAttempt(ctx, link, attempt, stager.Refusing, "")
+	case attempt.stopping && attempt.stopped == 0:
+		conductor.sendStop(ctx, link, attempt)
+	case !attempt.stopping && attempt.state != running:
+		conductor.sendStart(ctx, link, attempt)
+	}
+}
+
+func (conductor *Conductor) sendStart(ctx context.Context, link *link, attempt *attempt) {
+	expires := conductor.leaseEnd(link)
+	if expires == 0 {
+		return
+	}
+	job := conductor.state.Jobs[attempt.id.Job]
+	order := &StartOrder{
+		Task: attempt.id, Attempt: attempt.number, Payload: job.Payload, Expires: expires, Fence: conductor.state.Term,
+		Saved: conductor.state.Saved(job, attempt.id), Ticket: attempt.ticket,
+	}
+	attempt.state, attempt.calling = sent, true
+	attempt.starts++
+	target := link.target()
+	go func() {
+		answer := conductor.config.Start(ctx, target, order)
+		conductor.post(func() { conductor.startAnswered(ctx, link, attempt, answer) })
+	}()
+}
+
+func (conductor *Conductor) startAnswered(ctx context.Context, link *link, attempt *attempt, answer Answer) {
+	attempt.calling = false
+	if conductor.links[link.name] != link || link.attempts[attempt.id] != attempt {
+		return
+	}
+	now := conductor.config.Clock()
+	if answer.Outcome == Obeyed || answer.Outcome == Rejected {
+		conductor.heardOf(link, answer.Clock)
+	}
+	switch answer.Outcome {
+	case Obeyed:
+		if attempt.state == sent {
+			attempt.state = running
+		}
+		attempt.acknowledged, attempt.progressed = now, now
+		conductor.hold(ctx, link)
+		conductor.pursue(ctx, link, attempt)
+	case Rejected:
+		conductor.startRejected(ctx, link, attempt, answer)
+	case Unanswered:
+		attempt.unsure = true
+		attempt.callAt = now + retryPause
+		conductor.doubt(link, "a start was not answered")
+		if attempt.starts >= mostStarts {
+			conductor.stop(ctx, link, attempt, "its start was not answered")
+		}
+	case Replaced:
+		conductor.bury(ctx, link, "another life answers at its address")
+	}
+}
+
+// startRejected deals with a start that did nothing. If an earlier one was not
+// answered, that one may still be carried out, so the attempt is stopped.
+func (conductor *Conductor) startRejected(ctx context.Context, link *link, attempt *attempt, answer Answer) {
+	logger.Warn(conductor.config.Logger, "start rejected", "Task", attempt.id.String(), "Attempt", attempt.number, "Worker", link.name,
+		"Reason", answer.Reason.String(), "Detail", answer.Detail, "Unsure", attempt.unsure)
+	switch answer.Reason {
+	case BadTicket:
+		if known := conductor.approvals[attempt.id.StepID]; known != nil {
+			delete(known.Tickets, link.name)
+		}
+	case NoRoom, Unhealthy, NoReason:
+		conductor.doubt(link, "it rejected a start")
+	}
+	if attempt.unsure || answer.Reason == OldAttempt {
+		conductor.stop(ctx, link, attempt, "its start was rejected")
+		return
+	}
+	conductor.endAttempt(ctx, link, attempt, stager.Refusing, "")
+}
+
+// stop wants an attempt to end, and sees to it until it is known to have.
+func (conductor *Conductor) stop(ctx context.Context, link *link, attempt *attempt, why string) {
+	if attempt.stopping {
+		return
+	}
+	attempt.stopping = true
+	attempt.callAt = 0
+	logger.Info(conductor.config.Logger, "task stopped", "Task", attempt.id.String(), "Attempt", attempt.number, "Worker", link.name, "Reason", why)
+	conductor.pursue(ctx, link, attempt)
+}
+
+func (conductor *Conductor) sendStop(ctx context.Context, link *link, attempt *attempt) {
+	attempt.calling = true
+	order := &StopOrder{Task: attempt.id, Attempt: attempt.number, Fence: conductor.state.Term}
+	target := link.target()
+	go func() {
+		answer := conductor.config.Stop(ctx, target, order)
+		conductor.post(func() { conductor.stopAnswered(ctx, link, attempt, answer) })
+	}()
+}
+
+func (conductor *Conductor) stopAnswered(ctx context.Context, link *link, attempt *attempt, answer Answer) {
+	attempt.calling = false
+	if conductor.links[link.name] != link || link.attempts[attempt.id] != attempt {
+		return
+	}
+	switch answer.Outcome {
+	case Obeyed:
+		conductor.heardOf(link, answer.Clock)
+		attempt.stopped = conductor.config.Clock()
+		conductor.hold(ctx, link)
+	case Replaced:
+		conductor.bury(ctx, link, "another life answers at its address")
+	default:
+		attempt.callAt = conductor.config.Clock() + retryPause
+	}
+}
+
+// endAttempt records that an attempt holds its worker's room no more, and what
+// follows for the rest of its gang and its job.
+func (conductor *Conductor) endAttempt(ctx context.Context, link *link, ended *attempt, how stager.Ending, saved stager.Checkpoint) {
+	delete(link.attempts, ended.id)
+	job := conductor.state.Jobs[ended.id.Job]
+	if job == nil || job.Task(ended.id) == nil {
+		return
+	}
+	gang := job.Steps[ended.id.Step].Gang
+	over := job.Over()
+	if !conductor.try(&stager.Command{End: &stager.End{Task: ended.id, Attempt: ended.number, How: how, Saved: saved}}, "end an attempt") {
+		return
+	}
+	conductor.dirty = true
+	logger.Info(conductor.config.Logger, "task ended", "Task", ended.id.String(), "Attempt", ended.number, "Worker", link.name, "How", how.String(), "Saved", string(saved))
+	conductor.judge(link, job, ended, how)
+	switch {
+	case job.Over():
+		if !over {
+			logger.Info(conductor.config.Logger, "job ended", "Job", job.ID, "Status", job.Status().String(), "TookMillis", int64(job.Ended-job.Accepted))
+		}
+		conductor.abandon(ctx, job)
+	case gang && how != stager.Succeeding:
+		conductor.breakGang(ctx, job, ended)
+	}
+}
+
+// abandon stops whatever still runs of a job that is over.
+func (conductor *Conductor) abandon(ctx context.Context, job *stager.Job) {
+	if job.Live() == 0 || job.Status() == stager.Completed {
+		return
+	}
+	for at := range job.Tasks {
+		task := &job.Tasks[at]
+		if !task.Live {
+			continue
+		}
+		if link := conductor.links[task.Worker]; link != nil {
+			conductor.stopJobAt(ctx, link, job.ID)
+		}
+	}
+}
+
+// stopJobAt stops all attempts of a job on one worker.
+func (conductor *Conductor) stopJobAt(ctx context.Context, link *link, job stager.JobID) {
+	for id, attempt := range link.attempts {
+		if id.Job == job {
+			conductor.stop(ctx, link, attempt, "its job is over")
+		}
+	}
+}
+
+// breakGang stops the others of a gang's attempt after one has ended early.
+func (conductor *Conductor) breakGang(ctx context.Context, job *stager.Job, ended *attempt) {
+	tasks := job.StepTasks(ended.id.Occurrence, ended.id.Step)
+	for at := range tasks {
+		id := stager.TaskID{StepID: ended.id.StepID, Index: uint32(at)}
+		if !tasks[at].Live || tasks[at].Attempt != ended.number {
+			continue
+		}
+		link := conductor.links[tasks[at].Worker]
+		if link == nil || link.attempts[id] == nil {
+			continue
+		}
+		conductor.stop(ctx, link, link.attempts[id], "another task of its gang has ended")
+	}
+}
+
+// Bounds of how long a worker that fails its work gets nothing.
+const (
+	doubtfulAfter = 3
+	avoidFirst    = 2 * time.Second
+	avoidMost     = 16 * time.Second
+)
+
+// judge learns from how an attempt ended. A failure speaks against the worker
+// only if it is the task's first: one that fails anywhere is itself at fault.
+func (conductor *Conductor) judge(link *link, job *stager.Job, ended *attempt, how stager.Ending) {
+	switch how {
+	case stager.Succeeding:
+		link.streak = 0
+	case stager.Failing:
+		if task := job.Task(ended.id); task == nil || task.Failures <= 1 {
+			conductor.doubt(link, "a task failed")
+		}
+	}
+}
+
+func (conductor *Conductor) doubt(link *link, why string) {
+	link.streak++
+	if link.streak < doubtfulAfter {
+		return
+	}
+	stay := min(avoidMost, avoidFirst<<(link.streak-doubtfulAfter))
+	link.avoidUntil = conductor.config.Clock() + stay
+	logger.Warn(conductor.config.Logger, "worker avoided", "Worker", link.name, "Streak", link.streak, "ForMillis", stay.Milliseconds(), "Reason", why)
+}
--- /dev/null
+++ b/conductor/hold.go
@@ -0,0 +1,191 @@
+package conductor
+
+import (
+	"context"
+	"time"
+
+	"github.com/dotterelrill/dotterelrill/internal/logger"
+	"github.com/dotterelrill/dotterelrill/stager"
+)
+
+const (
+	// holdWait is how long a hold waits for an attempt to end.
+	holdWait = 2 * time.Second
+	// holdPause is how long after an unanswered hold the next is sent.
+	holdPause = 100 * time.Millisecond
+)
+
+// hold keeps one call open at a worker that runs something or has endings that
+// it may forget.
+func (conductor *Conductor) hold(ctx context.Context, link *link) {
+	now := conductor.config.Clock()
+	if link.holding || now < link.holdAt || len(link.attempts) == 0 && link.told >= link.observed {
+		return
+	}
+	wanted := len(link.attempts) == 0
+	for _, attempt := range link.attempts {
+		wanted = wanted || attempt.adopted || attempt.state == running || attempt.stopped != 0 || attempt.unsure
+	}
+	if !wanted {
+		return
+	}
+	order := &HoldOrder{Fence: conductor.state.Term, Observed: link.observed, Wait: conductor.holdWait(link)}
+	if len(link.attempts) > 0 {
+		order.Expires = conductor.leaseEnd(link)
+	}
+	link.holding = true
+	target := link.target()
+	go func() {
+		holding := conductor.config.Hold(ctx, target, order)
+		conductor.post(func() { conductor.held(ctx, link, order, now, holding) })
+	}()
+}
+
+// holdWait is short while something has to be learned soon.
+func (conductor *Conductor) holdWait(link *link) time.Duration {
+	if len(link.attempts) == 0 || link.misses > 0 {
+		return 0
+	}
+	for _, attempt := range link.attempts {
+		if attempt.adopted || attempt.stopped != 0 && attempt.state != running {
+			return 0
+		}
+	}
+	return holdWait
+}
+
+// held takes up what a worker says that it runs. The hold was sent at a time;
+// what the worker acknowledged before that must be in its answer.
+func (conductor *Conductor) held(ctx context.Context, link *link, order *HoldOrder, sentAt time.Duration, holding Holding) {
+	link.holding = false
+	if conductor.links[link.name] != link {
+		return
+	}
+	if holding.Outcome == Replaced || holding.Outcome == Obeyed && holding.Life != 0 && holding.Life != link.life {
+		conductor.bury(ctx, link, "another life answers at its address")
+		return
+	}
+	if holding.Outcome != Obeyed {
+		conductor.holdMissed(link, holding)
+		return
+	}
+	if link.misses > 0 {
+		logger.Info(conductor.config.Logger, "worker answers again", "Worker", link.name, "Misses", link.misses)
+	}
+	link.misses = 0
+	link.told = max(link.told, order.Observed)
+	conductor.heardOf(link, holding.Clock)
+	listed := conductor.takeRunning(ctx, link, holding.Running)
+	conductor.takeEnded(ctx, link, listed, holding.Ended)
+	if len(holding.Ended) < endedMost {
+		conductor.takeMissing(ctx, link, listed, sentAt)
+	}
+	conductor.resumeHold(ctx, link)
+}
+
+func (conductor *Conductor) holdMissed(link *link, holding Holding) {
+	link.misses++
+	link.holdAt = conductor.config.Clock() + holdPause
+	if link.misses == 1 {
+		logger.Warn(conductor.config.Logger, "worker does not answer", "Worker", link.name, "Outcome", holding.Outcome.String(),
+			"Reason", holding.Reason.String(), "Detail", holding.Detail, "Live", len(link.attempts))
+	}
+}
+
+// resumeHold sends the next hold once what this one brought is committed, so
+// that it can tell the worker to forget it.
+func (conductor *Conductor) resumeHold(ctx context.Context, link *link) {
+	conductor.after(func(err error) {
+		if err == nil && conductor.links[link.name] == link {
+			conductor.hold(ctx, link)
+		}
+	})
+}
+
+// takeRunning takes up the attempts that run, and stops those that should not.
+func (conductor *Conductor) takeRunning(ctx context.Context, link *link, attempts []RunningAttempt) map[stager.TaskID]bool {
+	listed := make(map[stager.TaskID]bool, len(attempts))
+	now := conductor.config.Clock()
+	for at := range attempts {
+		said := &attempts[at]
+		known := link.attempts[said.Task]
+		if known == nil || known.number != said.Attempt {
+			conductor.stopStray(ctx, link, said)
+			continue
+		}
+		listed[said.Task] = true
+		if known.state != running {
+			known.state, known.acknowledged, known.progressed = running, now, now
+		}
+		if said.Percent != known.percent {
+			known.percent, known.progressed = said.Percent, now
+		}
+		known.saved = said.Saved
+		if known.adopted {
+			known.adopted = false
+			conductor.pursue(ctx, link, known)
+		}
+		conductor.checkProgress(ctx, link, known, now)
+	}
+	return listed
+}
+
+// checkProgress has a task that stands still started elsewhere.
+func (conductor *Conductor) checkProgress(ctx context.Context, link *link, known *attempt, now time.Duration) {
+	job := conductor.state.Jobs[known.id.Job]
+	if known.stopping || job == nil || job.Over() || job.Steps[known.id.Step].Lasting || now-known.progressed < stuckAfter {
+		return
+	}
+	conductor.doubt(link, "a task stands still")
+	conductor.stop(ctx, link, known, "it stands still")
+}
+
+// stopStray ends an attempt that the state does not know as live: its start was
+// carried out late, or another leader gave it up.
+func (conductor *Conductor) stopStray(ctx context.Context, link *link, said *RunningAttempt) {
+	logger.Warn(conductor.config.Logger, "stray task stopped", "Task", said.Task.String(), "Attempt", said.Attempt, "Worker", link.name)
+	order := &StopOrder{Task: said.Task, Attempt: said.Attempt, Fence: conductor.state.Term}
+	target := link.target()
+	go func() { conductor.config.Stop(ctx, target, order) }()
+}
+
+// takeEnded records the endings. The worker is told that it may forget them
+// after that is committed.
+func (conductor *Conductor) takeEnded(ctx context.Context, link *link, listed map[stager.TaskID]bool, ended []EndedAttempt) {
+	newest := link.observed
+	for at := range ended {
+		said := &ended[at]
+		newest = max(newest, said.Number)
+		known := link.attempts[said.Task]
+		if known == nil || known.number != said.Attempt {
+			continue
+		}
+		listed[said.Task] = true
+		conductor.endAttempt(ctx, link, known, said.How, said.Saved)
+	}
+	if newest == link.observed {
+		return
+	}
+	conductor.after(func(err error) {
+		if err == nil {
+			link.observed = max(link.observed, newest)
+		}
+	})
+}
+
+// takeMissing deals with attempts that the worker neither runs nor lists as
+// ended.
+func (conductor *Conductor) takeMissing(ctx context.Context, link *link, listed map[stager.TaskID]bool, sentAt time.Duration) {
+	for id, known := range link.attempts {
+		switch {
+		case listed[id]:
+		case known.stopped != 0 && known.stopped < sentAt:
+			conductor.endAttempt(ctx, link, known, stager.Refusing, known.saved)
+		case known.state == running && known.acknowledged != 0 && known.acknowledged < sentAt && !known.stopping:
+			conductor.stop(ctx, link, known, "its worker does not know it")
+		case known.adopted:
+			known.adopted = false
+			conductor.pursue(ctx, link, known)
+		}
+	}
+}
--- /dev/null
+++ b/conductor/link.go
@@ -0,0 +1,216 @@
+package conductor
+
+import (
+	"context"
+	"time"
+
+	"github.com/dotterelrill/dotterelrill/coder"
+	"github.com/dotterelrill/dotterelrill/internal/logger"
+	"github.com/dotterelrill/dotterelrill/modeller"
+	"github.com/dotterelrill/dotterelrill/stager"
+)
+
+// link is what the conductor keeps of one life of a worker.
+type link struct {
+	name    modeller.WorkerName
+	life    stager.Life
+	address string
+	// number is that of the newest announcement.
+	number uint64
+	// heard is when the worker last announced itself or answered; unheard is
+	// true while a new leader has only the log's word for it.
+	heard   time.Duration
+	unheard bool
+
+	// clock was the worker's clock no later than at clockAt. It is zero while it
+	// is not known.
+	clock   modeller.Millis
+	clockAt time.Duration
+	// expires is the latest end of the lease, on the worker's clock, that this
+	// conductor has sent, answered or not.
+	expires modeller.Millis
+
+	attempts map[stager.TaskID]*attempt
+	// holding is true while a hold is under way, misses counts those in a row
+	// that were not answered, and holdAt is when to try again.
+	holding bool
+	misses  int
+	holdAt  time.Duration
+	// observed is the last ending that is committed; told is what the worker
+	// was last told of that.
+	observed, told uint64
+
+	// streak counts failures in a row that speak against the worker, and
+	// avoidUntil is until when it gets nothing for that.
+	streak     int
+	avoidUntil time.Duration
+}
+
+const (
+	// driftDivisor is the part by which a worker's clock may be slow: 2%.
+	driftDivisor = 50
+	// leaseMargin is added before a lease counts as over.
+	leaseMargin = 200 * time.Millisecond
+	// deposedMost is how long after a new leader's beginning the one before may
+	// still have sent orders.
+	deposedMost = time.Second
+)
+
+// adopt takes over the workers and attempts that the log knows of. What became
+// of the attempts is asked of the workers.
+func (conductor *Conductor) adopt(ctx context.Context) {
+	for name, worker := range conductor.state.Workers {
+		link := conductor.connect(worker)
+		link.unheard = true
+		for _, id := range conductor.state.LiveOn(name) {
+			job := conductor.state.Jobs[id.Job]
+			task := job.Task(id)
+			adopted := &attempt{id: id, number: task.Attempt, ticket: task.Ticket, state: sent, unsure: true, adopted: true, stopping: job.Over()}
+			link.attempts[id] = adopted
+		}
+		conductor.hold(ctx, link)
+	}
+	if len(conductor.state.Workers) > 0 {
+		logger.Info(conductor.config.Logger, "workers adopted", "Epoch", conductor.state.Term, "Workers", len(conductor.state.Workers), "Open", len(conductor.state.Open()))
+	}
+}
+
+func (conductor *Conductor) connect(worker *stager.Worker) *link {
+	made := &link{name: worker.Name, life: worker.Life, address: worker.Address, heard: conductor.config.Clock(), attempts: make(map[stager.TaskID]*attempt)}
+	conductor.links[worker.Name] = made
+	return made
+}
+
+func (link *link) target() Target {
+	return Target{Worker: link.name, Life: link.life, Address: link.address}
+}
+
+// meet takes up a worker's announcement.
+func (conductor *Conductor) meet(ctx context.Context, announcement *stager.Announcement) *coder.Refusal {
+	worker := announcement.Worker
+	known := conductor.links[worker.Name]
+	if known != nil && worker.Life < known.life {
+		return coder.Refuse(coder.StaleIncarnation, "a later life of the worker is known")
+	}
+	if known != nil && worker.Life > known.life {
+		conductor.bury(ctx, known, "a new life of the worker has begun")
+		known = nil
+	}
+	if known != nil && announcement.Number <= known.number && announcement.Number != 0 {
+		return nil
+	}
+	stored := conductor.state.Workers[worker.Name]
+	if stored == nil || changed(stored, &worker) {
+		if err := conductor.do(&stager.Command{Admit: &worker}); err != nil {
+			return refused(coder.StaleIncarnation, err)
+		}
+		logger.Info(conductor.config.Logger, "worker announced", "Worker", worker.Name, "Life", int64(worker.Life), "Pool", worker.Pool,
+			"Rack", worker.Rack, "Leaving", worker.Leaving, "RemainingMillis", int64(announcement.Remaining))
+	}
+	if known == nil {
+		known = conductor.connect(&worker)
+	}
+	known.number = announcement.Number
+	known.address = worker.Address
+	conductor.heardOf(known, announcement.Clock)
+	conductor.dirty = true
+	if worker.Leaving {
+		conductor.vacate(ctx, known, announcement.Remaining)
+	}
+	return nil
+}
+
+// changed reports whether an announcement says something new.
+func changed(stored, worker *stager.Worker) bool {
+	return stored.Life != worker.Life || stored.Leaving != worker.Leaving || stored.Address != worker.Address || stored.Pool != worker.Pool ||
+		stored.Capacity != worker.Capacity
+}
+
+// heardOf notes that a worker spoke, and its clock if it said so.
+func (conductor *Conductor) heardOf(link *link, clock modeller.Millis) {
+	link.heard = conductor.config.Clock()
+	link.unheard = false
+	if clock > link.clock {
+		link.clock, link.clockAt = clock, link.heard
+	}
+}
+
+// clockNow is a time that the worker's clock has surely reached.
+func (conductor *Conductor) clockNow(link *link) modeller.Millis {
+	passed := millis(conductor.config.Clock() - link.clockAt)
+	return link.clock + passed - passed/driftDivisor
+}
+
+// leaseEnd is the end of the lease to ask for now, on the worker's clock.
+func (conductor *Conductor) leaseEnd(link *link) modeller.Millis {
+	if link.clock == 0 || !conductor.config.Leads() {
+		return 0
+	}
+	end := conductor.clockNow(link) + millis(conductor.config.Terms.Lease)
+	link.expires = max(link.expires, end)
+	return end
+}
+
+// leaseOver reports whether everything that a silent worker ran has ended, by
+// the leases that this conductor and those before it have given.
+func (conductor *Conductor) leaseOver(link *link) bool {
+	term := conductor.config.Terms.Lease
+	now := conductor.config.Clock()
+	if now < conductor.begun+term+2*term/driftDivisor+deposedMost {
+		return false
+	}
+	if link.expires == 0 {
+		return true
+	}
+	return conductor.clockNow(link) > link.expires+millis(leaseMargin)
+}
+
+// usable reports whether a worker may get new work.
+func (conductor *Conductor) usable(link *link, now time.Duration) bool {
+	return !link.unheard && link.clock != 0 && link.misses == 0 && now-link.heard < conductor.config.Terms.StaleAfter && now >= link.avoidUntil
+}
+
+// watch looks after one worker as time passes.
+func (conductor *Conductor) watch(ctx context.Context, link *link) {
+	if len(link.attempts) > 0 && link.misses > 0 && conductor.leaseOver(link) {
+		conductor.bury(ctx, link, "the worker does not answer and its lease is over")
+		return
+	}
+	for _, attempt := range link.attempts {
+		conductor.pursue(ctx, link, attempt)
+	}
+	conductor.hold(ctx, link)
+}
+
+// bury ends all attempts of a life that is over.
+func (conductor *Conductor) bury(ctx context.Context, link *link, why string) {
+	logger.Warn(conductor.config.Logger, "worker lost", "Worker", link.name, "Life", int64(link.life), "Reason", why, "Live", len(link.attempts),
+		"HeardMillisAgo", (conductor.config.Clock() - link.heard).Milliseconds())
+	for _, attempt := range link.attempts {
+		conductor.endAttempt(ctx, link, attempt, stager.Losing, attempt.saved)
+	}
+	conductor.try(&stager.Command{Drop: &stager.Drop{Worker: link.name, Life: link.life}}, "drop a worker")
+	delete(conductor.links, link.name)
+	conductor.dirty = true
+}
+
+// try does a command that the state should take, and tells if it does not.
+func (conductor *Conductor) try(command *stager.Command, what string) bool {
+	if err := conductor.do(command); err != nil {
+		logger.Error(conductor.config.Logger, "command refused", "Command", what, "Error", err.Error())
+		return false
+	}
+	return true
+}
+
+// vacate stops what would be lost with a leaving worker, if it can go on
+// elsewhere from where it stands.
+func (conductor *Conductor) vacate(ctx context.Context, link *link, remaining modeller.Millis) {
+	for id, attempt := range link.attempts {
+		job := conductor.state.Jobs[id.Job]
+		step := &job.Steps[id.Step]
+		if attempt.state == running && !attempt.stopping && step.Checkpoints && !step.Gang && attempt.remaining(step) > remaining {
+			conductor.stop(ctx, link, attempt, "its worker is leaving")
+		}
+	}
+}
--- a/internal/cellrunner/leadership.go
+++ b/internal/cellrunner/leadership.go
@@ -11,6 +11,7 @@
 	"github.com/dotterelrill/dotterelrill/coder"
 	"github.com/dotterelrill/dotterelrill/dispatcher"
 	"github.com/dotterelrill/dotterelrill/encoder"
+	"github.com/dotterelrill/dotterelrill/inquirer"
 	"github.com/dotterelrill/dotterelrill/internal/logger"
 	"github.com/dotterelrill/dotterelrill/leaser"
 	"github.com/dotterelrill/dotterelrill/replicator"
@@ -31,6 +32,7 @@
 	// slots bounds the proposals of the leader's own that are under way.
 	slots    chan struct{}
 	handover handover
+	staged   staged
 }
 
 const (
@@ -86,6 +88,8 @@
 	go held.judgeWorkers()
 	go held.watchLeases()
 	go held.passOrders()
+	held.staged.inquirer = inquirer.New(inquirer.Config{Clock: runner.clock})
+	go held.stage()
 	runner.leadership.Store(held)
 	logger.Info(runner.logger, "leadership begun", "Term", status.Term)
 	return held
--- a/internal/cellrunner/runner.go
+++ b/internal/cellrunner/runner.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 
@@ -41,11 +42,13 @@
 	stopping      atomic.Bool
 	// stopped is closed when waiting calls must end.
 	stopped chan struct{}
-	begun   time.Time
+	begun   time.Duration
 	// Wall is the wall clock. It may be replaced before Run.
 	Wall func() time.Time
 	// stamps is where the time of this replica's present or last leadership begins.
-	stamps   atomic.Pointer[stamps]
+	stamps atomic.Pointer[stamps]
+	// staging is nil if the replica serves no staged jobs.
+	staging  *Staging
 	measures *measures
 }
 
@@ -60,7 +63,7 @@
 		machine:       newMachine(modeller.CellName(settings.CellName), logger),
 		statusChanged: make(chan struct{}, 1),
 		stopped:       make(chan struct{}),
-		begun:         time.Now(),
+		begun:         bootTime(),
 		Wall:          time.Now,
 		measures:      newMeasures(),
 	}
@@ -70,8 +73,18 @@
 	return modeller.CellName(runner.settings.CellName)
 }
 
-// clock is a monotonic clock.
-func (runner *Runner) clock() time.Duration { return time.Since(runner.begun) }
+// clock counts from the process's beginning, also while the VM is suspended:
+// whoever was away for long must know that its leases are over.
+func (runner *Runner) clock() time.Duration { return bootTime() - runner.begun }
+
+// bootTime is the time since the VM was started, suspensions included.
+func bootTime() time.Duration {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+		panic(err)
+	}
+	return time.Duration(now.Nano())
+}
 
 // Run runs the replica until the context ends. It then hands leadership over,
 // finishes what is under way and returns.
--- a/internal/cellrunner/service.go
+++ b/internal/cellrunner/service.go
@@ -25,6 +25,7 @@
 		Orders:  runner.orders,
 		Follow:  runner.follow,
 		History: runner.history,
+		Staged:  runner.stagedServer(),
 	}
 }
 
--- a/internal/cellrunner/settings.go
+++ b/internal/cellrunner/settings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/dotterelrill/dotterelrill/certifier"
+	"github.com/dotterelrill/dotterelrill/conductor"
 	"github.com/dotterelrill/dotterelrill/configurer"
 )
 
@@ -34,6 +35,9 @@
 	// LeaseGreatestDelay bounds messages to workers that cannot state a clock.
 	LeaseGreatestDelay time.Duration
 	TLS                certifier.Files
+	// Staged are the terms of staged jobs.
+	Staged          conductor.Terms
+	StagedKeepEnded time.Duration
 	// BeatsPerSecond bounds the beats of the whole fleet.
 	BeatsPerSecond int64
 
@@ -70,6 +74,10 @@
 	set.Duration(&settings.QuarantineMostStay, time.Second, 24*time.Hour, configurer.Key{Section: "Quarantine", Name: "MostStay", Default: "10m", Help: "The longest quarantine."})
 	set.Int(&settings.QuarantinePercent, 1, 100, configurer.Key{Section: "Quarantine", Name: "MostPercent", Default: "20", Help: "Largest part of the workers in quarantine at once, in percent; one worker is always allowed."})
 	set.Int(&settings.BeatsPerSecond, 1, 100_000, configurer.Key{Section: "Lease", Name: "BeatsPerSecond", Default: "500", Help: "Rate of all workers' beats together above which they are told to beat less often, though at least twice within Fresh."})
+	set.Duration(&settings.Staged.Lease, time.Second, 10*time.Minute, configurer.Key{Section: "Staged", Name: "Lease", Default: "6s", Help: "How long a worker may go on with staged jobs without a renewal; no more than workers grant."})
+	set.Duration(&settings.Staged.StaleAfter, time.Second, 10*time.Minute, configurer.Key{Section: "Staged", Name: "StaleAfter", Default: "4s", Help: "Age of a worker's last sign of life from which on it gets no new tasks of staged jobs."})
+	set.Duration(&settings.Staged.GangWait, 100*time.Millisecond, 10*time.Minute, configurer.Key{Section: "Staged", Name: "GangWait", Default: "3s", Help: "How long the first task of a gang waits at its worker for the others."})
+	set.Duration(&settings.StagedKeepEnded, time.Minute, 30*24*time.Hour, configurer.Key{Section: "Staged", Name: "KeepEnded", Default: "1h", Help: "How long a staged job that is over can be asked for, and its identity is not taken anew."})
 	settings.TLS.Declare(set)
 	set.Check(settings.check)
 	return set
--- /dev/null
+++ b/internal/cellrunner/stagedservice.go
@@ -0,0 +1,149 @@
+package cellrunner
+
+import (
+	"context"
+	"strings"
+
+	"github.com/dotterelrill/dotterelrill/coder"
+	"github.com/dotterelrill/dotterelrill/messenger"
+	"github.com/dotterelrill/dotterelrill/stager"
+)
+
+// stagedServer returns the functions that entries call about staged jobs.
+func (runner *Runner) stagedServer() messenger.StagedServer {
+	return messenger.StagedServer{
+		Submit:    runner.stagedSubmit,
+		Job:       runner.stagedJob,
+		Deploy:    runner.deploy,
+		Deployed:  runner.deployed,
+		Announce:  runner.announce,
+		Advise:    runner.advise,
+		Wave:      runner.wave,
+		Inquiries: runner.inquiries,
+	}
+}
+
+func reply(refusal *coder.Refusal) (*messenger.StagedReply, error) {
+	return &messenger.StagedReply{Refusal: refusal}, nil
+}
+
+func (runner *Runner) stagedSubmit(ctx context.Context, request *messenger.StagedSubmitRequest) (*messenger.StagedReply, error) {
+	made, _, refusal := runner.conducting(request.Cell)
+	if refusal != nil {
+		return reply(refusal)
+	}
+	submit := &stager.Submit{Payload: request.Payload, Steps: request.Steps, Schedule: request.Schedule}
+	refusal = runner.readStaged(request.Cell, func(state *stager.State) *coder.Refusal {
+		queue, account, refusal := state.Deployment.Route(request.Place.Host, request.Place.Path, request.Place.Key)
+		if refusal != nil {
+			return refusal
+		}
+		submit.ID = stager.JobID(strings.TrimPrefix(request.Place.Path, queue.Prefix))
+		submit.Queue, submit.ClientAccount = queue.Name, account
+		return nil
+	})
+	if refusal != nil {
+		return reply(refusal)
+	}
+	return reply(made.Submit(ctx, submit))
+}
+
+func (runner *Runner) stagedJob(ctx context.Context, request *messenger.StagedJobRequest) (*messenger.StagedReply, error) {
+	answer := &messenger.StagedReply{}
+	var id stager.JobID
+	answer.Refusal = runner.readStaged(request.Cell, func(state *stager.State) *coder.Refusal {
+		queue, _, refusal := state.Deployment.Route(request.Place.Host, request.Place.Path, request.Place.Key)
+		if refusal != nil {
+			return refusal
+		}
+		id = stager.JobID(strings.TrimPrefix(request.Place.Path, queue.Prefix))
+		if id == "" && request.Question == messenger.AskStatus {
+			answer.Pending = state.Pending(queue.Name)
+			return nil
+		}
+		if job := state.Jobs[id]; job != nil {
+			answer.Status = job.Status()
+			return nil
+		}
+		return coder.Refuse(coder.UnknownJob, "no job %s", id)
+	})
+	if answer.Refusal == nil && request.Question == messenger.AskCancel {
+		made, _, refusal := runner.conducting(request.Cell)
+		if refusal != nil {
+			return reply(refusal)
+		}
+		return reply(made.Cancel(ctx, id))
+	}
+	return answer, nil
+}
+
+func (runner *Runner) deploy(ctx context.Context, request *messenger.DeployRequest) (*messenger.StagedReply, error) {
+	made, _, refusal := runner.conducting(request.Cell)
+	if refusal != nil {
+		return reply(refusal)
+	}
+	return reply(made.Deploy(ctx, &request.Deployment))
+}
+
+func (runner *Runner) deployed(_ context.Context, request *messenger.DeployedRequest) (*messenger.DeployedReply, error) {
+	answer := &messenger.DeployedReply{}
+	answer.Refusal = runner.readStaged(request.Cell, func(state *stager.State) *coder.Refusal {
+		answer.Version, answer.Source = state.Deployment.Version, state.Deployment.Source
+		return nil
+	})
+	return answer, nil
+}
+
+func (runner *Runner) announce(ctx context.Context, request *messenger.AnnounceRequest) (*messenger.StagedReply, error) {
+	made, _, refusal := runner.conducting(request.Cell)
+	if refusal != nil {
+		return reply(refusal)
+	}
+	if request.Gone {
+		return reply(made.Depart(ctx, &request.Announcement))
+	}
+	return reply(made.Announce(ctx, &request.Announcement))
+}
+
+func (runner *Runner) advise(_ context.Context, request *messenger.AdviseRequest) (*messenger.StagedReply, error) {
+	made, _, refusal := runner.conducting(request.Cell)
+	if refusal == nil {
+		made.Advise(&request.Advice)
+	}
+	return reply(refusal)
+}
+
+func (runner *Runner) wave(ctx context.Context, request *messenger.WaveRequest) (*messenger.WaveReply, error) {
+	answer := &messenger.WaveReply{}
+	made, _, refusal := runner.conducting(request.Cell)
+	if refusal == nil && request.Start != nil {
+		refusal = made.StartWave(ctx, request.Start)
+	}
+	if refusal != nil {
+		answer.Refusal = refusal
+		return answer, nil
+	}
+	answer.Refusal = runner.readStaged(request.Cell, func(state *stager.State) *coder.Refusal {
+		wave := state.Waves[request.Number]
+		if wave == nil {
+			return coder.Refuse(coder.UnknownWorker, "no wave %d", request.Number)
+		}
+		answer.Completed = wave.Completed()
+		return nil
+	})
+	return answer, nil
+}
+
+// inquiries attaches a process that can ask advisers, for as long as this
+// leadership lasts.
+func (runner *Runner) inquiries(ctx context.Context, request *messenger.InquiriesRequest, send func(*stager.Inquiry) error) error {
+	held, refusal := runner.leading(request.Cell)
+	if refusal != nil {
+		return refusal
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(held.ctx, cancel)
+	defer stop()
+	return held.staged.inquirer.Attach(ctx, send)
+}
--- a/messenger/service.go
+++ b/messenger/service.go
@@ -6,6 +6,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/dotterelrill/dotterelrill/replicator"
+	"github.com/dotterelrill/dotterelrill/stager"
 )
 
 // The names of the services and of their methods.
@@ -30,6 +31,8 @@
 	Job     func(ctx context.Context, request *JobRequest) (*JobReply, error)
 	Query   func(ctx context.Context, request *QueryRequest) (*QueryReply, error)
 	Member  func(ctx context.Context, request *MemberRequest) (*JoinReply, error)
+	// Staged serves staged jobs.
+	Staged StagedServer
 	// Orders sends orders until the context ends or leadership does.
 	Orders func(ctx context.Context, request *OrdersRequest, send func(*Order) error) error
 	// Follow sends configurations, each newer than the one before.
@@ -68,8 +71,16 @@
 		unary("Job", func(server *CellServer) handler[JobRequest, JobReply] { return server.Job }),
 		unary("Query", func(server *CellServer) handler[QueryRequest, QueryReply] { return server.Query }),
 		unary("Member", func(server *CellServer) handler[MemberRequest, JoinReply] { return server.Member }),
+		unary("StagedSubmit", func(server *CellServer) handler[StagedSubmitRequest, StagedReply] { return server.Staged.Submit }),
+		unary("StagedJob", func(server *CellServer) handler[StagedJobRequest, StagedReply] { return server.Staged.Job }),
+		unary("Deploy", func(server *CellServer) handler[DeployRequest, StagedReply] { return server.Staged.Deploy }),
+		unary("Deployed", func(server *CellServer) handler[DeployedRequest, DeployedReply] { return server.Staged.Deployed }),
+		unary("Announce", func(server *CellServer) handler[AnnounceRequest, StagedReply] { return server.Staged.Announce }),
+		unary("Advise", func(server *CellServer) handler[AdviseRequest, StagedReply] { return server.Staged.Advise }),
+		unary("Wave", func(server *CellServer) handler[WaveRequest, WaveReply] { return server.Staged.Wave }),
 	},
 	Streams: []grpc.StreamDesc{
+		serverStream("Inquiries", func(server *CellServer) streamer[InquiriesRequest, stager.Inquiry] { return server.Staged.Inquiries }),
 		serverStream("Orders", func(server *CellServer) streamer[OrdersRequest, Order] { return server.Orders }),
 		serverStream("Follow", func(server *CellServer) streamer[FollowRequest, Configuration] { return server.Follow }),
 		serverStream("History", func(server *CellServer) streamer[HistoryRequest, HistoryRecord] { return server.History }),
--- /dev/null
+++ b/relayer/relayer.go
@@ -0,0 +1,144 @@
+// Package relayer owns how a process that is not the leader, or does not know
+// whether it is, serves staged jobs: it passes requests on to the leader and
+// asks advisers for it.
+//
+// It holds nothing. Each answer is the leader's own, so none is older than what
+// the leader has committed, whichever process was asked.
+package relayer
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/dotterelrill/dotterelrill/coder"
+	"github.com/dotterelrill/dotterelrill/internal/logger"
+	"github.com/dotterelrill/dotterelrill/locator"
+	"github.com/dotterelrill/dotterelrill/messenger"
+	"github.com/dotterelrill/dotterelrill/modeller"
+	"github.com/dotterelrill/dotterelrill/stager"
+)
+
+// Config describes a Relayer.
+type Config struct {
+	Cell    modeller.CellName
+	Name    string
+	Locator *locator.Locator
+	// Ask puts a question to an adviser. It is nil in a process that asks none.
+	Ask    func(context.Context, *stager.Inquiry) stager.Advice
+	Logger log.Logger
+}
+
+// Relayer passes requests on. It is safe for concurrent use.
+type Relayer struct {
+	config Config
+}
+
+// New returns a relayer.
+func New(config Config) *Relayer { return &Relayer{config: config} }
+
+// ask makes one call to the leader. The reply is nil if it was refused.
+func ask[Request, Reply any](ctx context.Context, relayer *Relayer,
+	method func(messenger.CellClient, context.Context, *Request) (*Reply, error),
+	refusal func(*Reply) *coder.Refusal, request *Request,
+) (*Reply, *coder.Refusal) {
+	var answer *Reply
+	refused := relayer.config.Locator.Call(ctx, func(ctx context.Context, client messenger.CellClient) (*coder.Refusal, error) {
+		reply, err := method(client, ctx, request)
+		if err != nil {
+			return nil, err
+		}
+		answer = reply
+		return refusal(reply), nil
+	})
+	if refused != nil {
+		return nil, refused
+	}
+	return answer, nil
+}
+
+func refusalOf(reply *messenger.StagedReply) *coder.Refusal { return reply.Refusal }
+
+// Submit passes a job on.
+func (relayer *Relayer) Submit(ctx context.Context, request *messenger.StagedSubmitRequest) *coder.Refusal {
+	request.Cell = relayer.config.Cell
+	_, refusal := ask(ctx, relayer, messenger.CellClient.StagedSubmit, refusalOf, request)
+	return refusal
+}
+
+// Job passes a question about a job or queue on.
+func (relayer *Relayer) Job(ctx context.Context, place messenger.Place, question messenger.JobQuestion) (*messenger.StagedReply, *coder.Refusal) {
+	request := &messenger.StagedJobRequest{Cell: relayer.config.Cell, Place: place, Question: question}
+	return ask(ctx, relayer, messenger.CellClient.StagedJob, refusalOf, request)
+}
+
+// Deploy passes a deployment on.
+func (relayer *Relayer) Deploy(ctx context.Context, deployment *stager.Deployment) *coder.Refusal {
+	request := &messenger.DeployRequest{Cell: relayer.config.Cell, Deployment: *deployment}
+	_, refusal := ask(ctx, relayer, messenger.CellClient.Deploy, refusalOf, request)
+	return refusal
+}
+
+// Deployed returns the newest deployment.
+func (relayer *Relayer) Deployed(ctx context.Context) (*messenger.DeployedReply, *coder.Refusal) {
+	return ask(ctx, relayer, messenger.CellClient.Deployed,
+		func(reply *messenger.DeployedReply) *coder.Refusal { return reply.Refusal }, &messenger.DeployedRequest{Cell: relayer.config.Cell})
+}
+
+// Announce passes on what a worker says of itself, or that it has ended.
+func (relayer *Relayer) Announce(ctx context.Context, announcement *stager.Announcement, gone bool) *coder.Refusal {
+	request := &messenger.AnnounceRequest{Cell: relayer.config.Cell, Announcement: *announcement, Gone: gone}
+	_, refusal := ask(ctx, relayer, messenger.CellClient.Announce, refusalOf, request)
+	return refusal
+}
+
+// Wave starts an upkeep wave, or asks for one if it is nil.
+func (relayer *Relayer) Wave(ctx context.Context, number uint64, wave *stager.Wave) (bool, *coder.Refusal) {
+	request := &messenger.WaveRequest{Cell: relayer.config.Cell, Number: number, Start: wave}
+	reply, refusal := ask(ctx, relayer, messenger.CellClient.Wave,
+		func(reply *messenger.WaveReply) *coder.Refusal { return reply.Refusal }, request)
+	if refusal != nil {
+		return false, refusal
+	}
+	return reply.Completed, nil
+}
+
+const (
+	// sessionPause is how long after a lost leader the next is looked for.
+	sessionPause = 100 * time.Millisecond
+	// adviseTimeout bounds the passing on of an adviser's answer.
+	adviseTimeout = 2 * time.Second
+)
+
+// Run asks advisers for the leader, whoever that is, until the context ends.
+func (relayer *Relayer) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		client, err := relayer.config.Locator.Leader(ctx, relayer.config.Cell)
+		if err == nil {
+			logger.Info(relayer.config.Logger, "leader found")
+			request := &messenger.InquiriesRequest{Cell: relayer.config.Cell, Entry: relayer.config.Name}
+			err = client.Inquiries(ctx, request, func(inquiry *stager.Inquiry) error {
+				go relayer.inquire(ctx, inquiry)
+				return nil
+			})
+		}
+		if err != nil && ctx.Err() == nil {
+			logger.Warn(relayer.config.Logger, "leader lost", "Error", err.Error())
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(sessionPause):
+		}
+	}
+}
+
+func (relayer *Relayer) inquire(ctx context.Context, inquiry *stager.Inquiry) {
+	advice := relayer.config.Ask(ctx, inquiry)
+	ctx, cancel := context.WithTimeout(ctx, adviseTimeout)
+	defer cancel()
+	request := &messenger.AdviseRequest{Cell: relayer.config.Cell, Advice: advice}
+	if _, refusal := ask(ctx, relayer, messenger.CellClient.Advise, refusalOf, request); refusal != nil {
+		logger.Warn(relayer.config.Logger, "advice not passed on", "Step", inquiry.Step.String(), "Error", refusal.Error())
+	}
+}
--- a/replicator/proposal.go
+++ b/replicator/proposal.go
@@ -51,14 +51,35 @@
 	return err
 }
 
+// Enqueue puts a command behind those that were enqueued before and returns
+// without waiting for it. The returned function does, and answers as Propose.
+func (node *Node) Enqueue(ctx context.Context, data []byte) (func(context.Context) (uint64, any, error), error) {
+	proposal := &proposal{data: data, reply: make(chan proposalReply, 1)}
+	if err := node.enqueue(ctx, proposal); err != nil {
+		return nil, err
+	}
+	return func(ctx context.Context) (uint64, any, error) { return node.await(ctx, proposal) }, nil
+}
+
 func (node *Node) propose(ctx context.Context, proposal *proposal) (uint64, any, error) {
+	if err := node.enqueue(ctx, proposal); err != nil {
+		return 0, nil, err
+	}
+	return node.await(ctx, proposal)
+}
+
+func (node *Node) enqueue(ctx context.Context, proposal *proposal) error {
 	select {
 	case node.proposals <- proposal:
+		return nil
 	case <-ctx.Done():
-		return 0, nil, eris.Wrap(ErrNotLeader, "the ring of proposals is full")
+		return eris.Wrap(ErrNotLeader, "the ring of proposals is full")
 	case <-node.done:
-		return 0, nil, ErrNotLeader
+		return ErrNotLeader
 	}
+}
+
+func (node *Node) await(ctx context.Context, proposal *proposal) (uint64, any, error) {
 	select {
 	case reply := <-proposal.reply:
 		return reply.index, reply.result, reply.err
--- /dev/null
+++ b/stager/place.go
@@ -0,0 +1,253 @@
+package stager
+
+import (
+	"slices"
+
+	"github.com/dotterelrill/dotterelrill/modeller"
+)
+
+// place commits tasks of one step to workers, all or none.
+func (state *State) place(place *Place) error {
+	job := state.Jobs[place.Step.Job]
+	if err := state.placeable(job, place); err != nil {
+		return err
+	}
+	before := make([]Task, len(place.Tasks))
+	for at := range place.Tasks {
+		if task := job.Task(TaskID{place.Step, place.Tasks[at].Index}); task != nil {
+			before[at] = *task
+		}
+		if err := state.placeTask(job, place.Step, &place.Tasks[at]); err != nil {
+			state.unplace(job, place, before[:at])
+			return err
+		}
+	}
+	if !job.Started {
+		job.Started = true
+		state.pending[job.Queue]--
+	}
+	return nil
+}
+
+func (state *State) placeable(job *Job, place *Place) error {
+	if job == nil || job.Over() {
+		return refuse("job %s is over or unknown", place.Step.Job)
+	}
+	if int(place.Step.Step) >= len(job.Steps) || place.Step.Occurrence >= job.Occurrences() {
+		return refuse("no step %s", place.Step)
+	}
+	if !job.Ready(place.Step.Occurrence, place.Step.Step) {
+		return refuse("step %s waits for another", place.Step)
+	}
+	if state.Now < job.Schedule.Due(place.Step.Occurrence) {
+		return refuse("step %s is not due", place.Step)
+	}
+	if !job.Steps[place.Step.Step].Gang {
+		return nil
+	}
+	tasks := job.StepTasks(place.Step.Occurrence, place.Step.Step)
+	if len(place.Tasks) != len(tasks) {
+		return refuse("gang %s is placed with %d of %d tasks", place.Step, len(place.Tasks), len(tasks))
+	}
+	for at := range place.Tasks {
+		if place.Tasks[at].Attempt != place.Tasks[0].Attempt {
+			return refuse("gang %s is placed under different attempts", place.Step)
+		}
+	}
+	return nil
+}
+
+func (state *State) placeTask(job *Job, step StepID, placed *Placed) error {
+	id := TaskID{step, placed.Index}
+	task := job.Task(id)
+	if task == nil || task.Done || task.Live {
+		return refuse("task %s does not wait", id)
+	}
+	if placed.Attempt <= task.Attempt {
+		return refuse("attempt %d of task %s is not new", placed.Attempt, id)
+	}
+	if err := state.checkWorker(job, id, placed); err != nil {
+		return err
+	}
+	size := job.Steps[step.Step].Size
+	if !size.Fits(state.Room(job.ClientAccount)) && !size.IsZero() {
+		return refuse("client account %s would pass its limit", job.ClientAccount)
+	}
+	task.Attempt, task.Live, task.Worker, task.Life, task.Ticket = placed.Attempt, true, placed.Worker, placed.Life, placed.Ticket
+	job.live++
+	state.hold(job, id, task)
+	return nil
+}
+
+func (state *State) checkWorker(job *Job, id TaskID, placed *Placed) error {
+	step := &job.Steps[id.Step]
+	worker := state.Workers[placed.Worker]
+	switch {
+	case worker == nil || worker.Life != placed.Life:
+		return refuse("worker %s has another life", placed.Worker)
+	case worker.Leaving:
+		return refuse("worker %s is leaving", placed.Worker)
+	case worker.Pool != state.Queues[job.Queue].Pool:
+		return refuse("worker %s belongs to pool %s", placed.Worker, worker.Pool)
+	case !worker.Bears(step.Label):
+		return refuse("worker %s lacks the label %s", placed.Worker, step.Label)
+	case !worker.used.Add(step.Held()).Fits(worker.Capacity):
+		return refuse("worker %s has no room", placed.Worker)
+	}
+	if step.MostPerWorker > 0 && worker.OfStep(id.StepID) >= int(step.MostPerWorker) {
+		return refuse("worker %s has its share of step %s", placed.Worker, id.StepID)
+	}
+	return nil
+}
+
+// Bears reports whether the worker has a label; every worker bears none.
+func (worker *Worker) Bears(label string) bool {
+	return label == "" || slices.Contains(worker.Labels, label)
+}
+
+// OfStep returns how many attempts of a step hold the worker's room.
+func (worker *Worker) OfStep(step StepID) int {
+	count := 0
+	for id := range worker.live {
+		if id.StepID == step {
+			count++
+		}
+	}
+	return count
+}
+
+// unplace takes back the first tasks of a placement that failed further on.
+func (state *State) unplace(job *Job, place *Place, before []Task) {
+	for at := range before {
+		id := TaskID{place.Step, place.Tasks[at].Index}
+		task := job.Task(id)
+		state.release(job, id, task)
+		job.live--
+		*task = before[at]
+	}
+}
+
+// end records that an attempt is over.
+func (state *State) end(end *End) error {
+	job := state.Jobs[end.Task.Job]
+	if job == nil {
+		return refuse("no job %s", end.Task.Job)
+	}
+	task := job.Task(end.Task)
+	if task == nil || !task.Live || task.Attempt != end.Attempt {
+		return refuse("attempt %d of task %s is not live", end.Attempt, end.Task)
+	}
+	state.release(job, end.Task, task)
+	job.live--
+	task.Live = false
+	state.keepProgress(job, end)
+	switch end.How {
+	case Succeeding:
+		state.succeed(job, end)
+	case Failing:
+		state.fail(job, end)
+	}
+	if !job.Over() && job.open == 0 {
+		state.finish(job)
+	}
+	job.shrink()
+	return nil
+}
+
+func (state *State) keepProgress(job *Job, end *End) {
+	if end.Saved == "" {
+		return
+	}
+	state.counter(job, end.Task).Saved = end.Saved
+}
+
+// counter returns the task that keeps count for a task: the first of its gang,
+// or itself.
+func (state *State) counter(job *Job, id TaskID) *Task {
+	if job.Steps[id.Step].Gang {
+		id.Index = 0
+	}
+	return job.Task(id)
+}
+
+// Saved returns the checkpoint that the task's next attempt resumes from.
+func (state *State) Saved(job *Job, id TaskID) Checkpoint { return state.counter(job, id).Saved }
+
+// succeed marks a task as done; one success of a gang stands for all of it. A
+// lasting task is never done.
+func (state *State) succeed(job *Job, end *End) {
+	step := &job.Steps[end.Task.Step]
+	if step.Lasting {
+		return
+	}
+	if !step.Gang {
+		state.markDone(job, end.Task)
+		return
+	}
+	for index := range step.Tasks {
+		id := TaskID{end.Task.StepID, index}
+		if job.Task(id).Attempt == end.Attempt {
+			state.markDone(job, id)
+		}
+	}
+}
+
+func (state *State) markDone(job *Job, id TaskID) {
+	task := job.Task(id)
+	if task.Done {
+		return
+	}
+	task.Done = true
+	job.open--
+	job.undone[id.Occurrence*uint32(len(job.Steps))+id.Step]--
+}
+
+// fail counts a failure. Members of a gang that fail under one attempt count
+// once.
+func (state *State) fail(job *Job, end *End) {
+	step := &job.Steps[end.Task.Step]
+	task := state.counter(job, end.Task)
+	if task.Done || step.Lasting || task.FailedAttempt >= end.Attempt {
+		return
+	}
+	task.Failures++
+	task.FailedAttempt = end.Attempt
+	if task.Failures >= state.mostFailures(job) && !job.Over() {
+		job.Failed = true
+		state.finish(job)
+	}
+}
+
+// mostFailures is at least 1, also for queues that state nothing.
+func (state *State) mostFailures(job *Job) uint32 {
+	return max(1, state.Queues[job.Queue].MostFailures)
+}
+
+// Waiting returns a step's tasks that are not done and have no live attempt. A
+// gang waits whole or not at all.
+func (job *Job) Waiting(occurrence, step uint32) []uint32 {
+	tasks := job.StepTasks(occurrence, step)
+	var waiting []uint32
+	for at := range tasks {
+		if !tasks[at].Done && !tasks[at].Live {
+			waiting = append(waiting, uint32(at))
+		}
+	}
+	if job.Steps[step].Gang && len(waiting) < len(tasks) {
+		return nil
+	}
+	return waiting
+}
+
+// NextAttempt returns the number under which a step's tasks are placed next; of
+// a gang all tasks share it.
+func (job *Job) NextAttempt(id TaskID) modeller.Attempt {
+	if !job.Steps[id.Step].Gang {
+		return job.Task(id).Attempt + 1
+	}
+	latest := modeller.Attempt(0)
+	for _, task := range job.StepTasks(id.Occurrence, id.Step) {
+		latest = max(latest, task.Attempt)
+	}
+	return latest + 1
+}
--- /dev/null
+++ b/stager/state.go
@@ -0,0 +1,217 @@
+package stager
+
+import (
+	"fmt"
+
+	"github.com/dotterelrill/dotterelrill/encoder"
+	"github.com/dotterelrill/dotterelrill/modeller"
+)
+
+// State is everything about staged work that must survive. Its exported fields
+// are the snapshot; the others are derived from them.
+type State struct {
+	// Term and Sequence are those of the last batch.
+	Term, Sequence uint64
+	// Now never goes back within a term.
+	Now       modeller.Millis
+	KeepEnded modeller.Millis
+	// Deployment is nil until the first one has come. Its version never goes
+	// back.
+	Deployment *Deployment
+	// Queues holds the newest terms of every queue there ever was, for jobs
+	// that outlive their queue.
+	Queues  map[modeller.QueueName]*Queue
+	Workers map[modeller.WorkerName]*Worker
+	Jobs    map[JobID]*Job
+	Waves   map[uint64]*Wave
+	// Over lists the jobs that are over in the order of their ending.
+	Over []JobID
+
+	accounts map[modeller.ClientAccountName]*usage
+	open     []*Job
+	// pending counts the accepted jobs of a queue of which nothing was placed.
+	pending map[modeller.QueueName]int
+}
+
+type usage struct {
+	used  modeller.Resources
+	limit modeller.Resources
+}
+
+// New returns an empty state.
+func New() *State {
+	state := &State{}
+	state.Rebuild()
+	return state
+}
+
+// Clone returns a copy that shares nothing that changes.
+func (state *State) Clone() (*State, error) {
+	data, err := encoder.Marshal(state)
+	if err != nil {
+		return nil, err
+	}
+	clone := &State{}
+	if err := encoder.Unmarshal(data, clone); err != nil {
+		return nil, err
+	}
+	clone.Rebuild()
+	return clone, nil
+}
+
+// Rebuild makes the derived fields anew after decoding.
+func (state *State) Rebuild() {
+	state.makeMaps()
+	state.accounts = make(map[modeller.ClientAccountName]*usage)
+	state.pending = make(map[modeller.QueueName]int)
+	state.open = nil
+	state.takeLimits()
+	for _, worker := range state.Workers {
+		worker.used = modeller.Resources{}
+		worker.live = make(map[TaskID]struct{})
+	}
+	for _, job := range state.Jobs {
+		job.index()
+		state.recount(job)
+		if !job.Over() {
+			state.open = append(state.open, job)
+			if !job.Started {
+				state.pending[job.Queue]++
+			}
+		}
+	}
+}
+
+func (state *State) makeMaps() {
+	if state.Queues == nil {
+		state.Queues = make(map[modeller.QueueName]*Queue)
+	}
+	if state.Workers == nil {
+		state.Workers = make(map[modeller.WorkerName]*Worker)
+	}
+	if state.Jobs == nil {
+		state.Jobs = make(map[JobID]*Job)
+	}
+	if state.Waves == nil {
+		state.Waves = make(map[uint64]*Wave)
+	}
+}
+
+func (state *State) recount(job *Job) {
+	if len(job.Tasks) == 0 {
+		return
+	}
+	for occurrence := range job.Occurrences() {
+		for step := range uint32(len(job.Steps)) {
+			for index := range job.StepTasks(occurrence, step) {
+				id := TaskID{StepID{job.ID, occurrence, step}, uint32(index)}
+				if task := job.Task(id); task.Live {
+					state.hold(job, id, task)
+				}
+			}
+		}
+	}
+}
+
+// takeLimits puts the deployment's limits beside what the accounts use.
+func (state *State) takeLimits() {
+	for _, account := range state.accounts {
+		account.limit = modeller.Resources{}
+	}
+	if state.Deployment == nil {
+		return
+	}
+	for at := range state.Deployment.Accounts {
+		account := &state.Deployment.Accounts[at]
+		state.account(account.Name).limit = account.Limit
+	}
+}
+
+func (state *State) account(name modeller.ClientAccountName) *usage {
+	account := state.accounts[name]
+	if account == nil {
+		account = &usage{}
+		state.accounts[name] = account
+	}
+	return account
+}
+
+// hold counts a live attempt against its worker and its account.
+func (state *State) hold(job *Job, id TaskID, task *Task) {
+	step := &job.Steps[id.Step]
+	account := state.account(job.ClientAccount)
+	account.used = account.used.Add(step.Size)
+	worker := state.Workers[task.Worker]
+	worker.used = worker.used.Add(step.Held())
+	worker.live[id] = struct{}{}
+}
+
+// release ends the counting that hold began.
+func (state *State) release(job *Job, id TaskID, task *Task) {
+	step := &job.Steps[id.Step]
+	account := state.account(job.ClientAccount)
+	account.used = account.used.Sub(step.Size)
+	worker := state.Workers[task.Worker]
+	worker.used = worker.used.Sub(step.Held())
+	delete(worker.live, id)
+}
+
+// Open returns the jobs that are not over. The slice belongs to the state.
+func (state *State) Open() []*Job { return state.open }
+
+// Pending returns how many of a queue's jobs have not begun.
+func (state *State) Pending(queue modeller.QueueName) int { return state.pending[queue] }
+
+// Used returns what a client account has running.
+func (state *State) Used(name modeller.ClientAccountName) modeller.Resources {
+	return state.account(name).used
+}
+
+// Room returns what a client account may still have running; a part without a
+// limit is very large.
+func (state *State) Room(name modeller.ClientAccountName) modeller.Resources {
+	account := state.account(name)
+	return modeller.Resources{
+		MilliProcessors: room(account.limit.MilliProcessors, account.used.MilliProcessors),
+		MemoryMiB:       room(account.limit.MemoryMiB, account.used.MemoryMiB),
+		Accelerators:    room(account.limit.Accelerators, account.used.Accelerators),
+	}
+}
+
+// unlimited is more than any fleet has of anything.
+const unlimited = int64(1) << 50
+
+func room(limit, used int64) int64 {
+	if limit == 0 {
+		return unlimited
+	}
+	return limit - used
+}
+
+// LiveOn returns the tasks with live attempts on a worker.
+func (state *State) LiveOn(name modeller.WorkerName) []TaskID {
+	worker := state.Workers[name]
+	if worker == nil {
+		return nil
+	}
+	ids := make([]TaskID, 0, len(worker.live))
+	for id := range worker.live {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// LiveCount returns how many attempts hold a worker's room.
+func (worker *Worker) LiveCount() int { return len(worker.live) }
+
+// Refusal is why a command was not carried out.
+type Refusal struct {
+	Reason string
+}
+
+// Error implements the error interface.
+func (refusal *Refusal) Error() string { return refusal.Reason }
+
+func refuse(format string, args ...any) error {
+	return &Refusal{Reason: fmt.Sprintf(format, args...)}
+}
