Ask an adviser only for what can be placed, urgent questions first, and find a silent leader

After a leader froze, entries followed its stream for up to 12 s. Ruled out: room on the workers (looked at free capacity in the placement log), processor time of the leader (0.11 of 0.8 cores).

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -49,6 +49,9 @@
 type Question struct {
 	Step    stager.StepID
 	Workers []modeller.WorkerName
+	// Urgency and Latest are those of the step.
+	Urgency int
+	Latest  modeller.Millis
 }
 
 // Config is the view that an Allotter works on.
@@ -68,10 +71,15 @@
 // Allotter goes through the waiting steps once.
 type Allotter struct {
 	config Config
+	// kept is the room that more urgent steps wait for an adviser's leave to
+	// use.
+	kept map[modeller.WorkerName]modeller.Resources
 }
 
 // New returns an allotter for one pass.
-func New(config Config) *Allotter { return &Allotter{config: config} }
+func New(config Config) *Allotter {
+	return &Allotter{config: config, kept: make(map[modeller.WorkerName]modeller.Resources)}
+}
 
 // lateAfter is how many objectives after its submission nobody waits for a job
 // any more.
@@ -156,10 +164,11 @@
 	}
 	approval := allotter.config.Approval(step.id)
 	ticketed, known, unknown := allotter.split(approval, options)
-	placed := allotter.place(step, ticketed)
-	if left := len(step.tasks) - placed; left > 0 && !approval.Asking {
-		allotter.ask(step, left, len(ticketed), known, unknown)
+	if allotter.place(step, ticketed) == len(step.tasks) {
+		return
 	}
+	step.tasks = step.job.Waiting(step.id.Occurrence, step.id.Step)
+	allotter.ask(step, approval, append(ticketed, known...), unknown)
 }
 
 // options returns the workers that could take one task, best first.
@@ -168,7 +177,7 @@
 	held := step.step.Held()
 	for _, candidate := range allotter.config.Candidates {
 		worker := candidate.Worker
-		if worker.Pool == step.queue.Pool && worker.Bears(step.step.Label) && held.Fits(worker.Capacity.Sub(worker.Used())) {
+		if worker.Pool == step.queue.Pool && worker.Bears(step.step.Label) && held.Fits(allotter.left(worker)) {
 			fitting = append(fitting, candidate)
 		}
 	}
@@ -240,7 +249,7 @@
 	at := 0
 	for _, option := range options {
 		worker := option.Worker
-		left := worker.Capacity.Sub(worker.Used())
+		left := allotter.left(worker)
 		here := worker.OfStep(step.id)
 		for at < len(step.tasks) && held.Fits(left) && step.step.Size.Fits(room) {
 			if step.step.MostPerWorker > 0 && here >= int(step.step.MostPerWorker) {
@@ -285,39 +294,62 @@
 // Bounds of a question. An adviser takes time for each worker named, and
 // approves of a part of them only.
 const (
-	// askedFor is how many workers are named for each that is needed.
+	// askedFor is how many new workers are named for each that is needed.
 	askedFor = 3
 	askLeast = 6
 	askMost  = 30
 )
 
-// ask names the workers that were approved before, then new ones.
-func (allotter *Allotter) ask(step *waiting, left, ticketed int, known, unknown []Candidate) {
-	tasksEach := 1
-	if len(known)+len(unknown) == 0 {
-		return
+// ask asks about the workers that the step would be placed on if its tickets
+// held, and about new ones if those do not suffice. The room is kept from less
+// urgent steps meanwhile. A gang that would not fit even so asks nothing.
+func (allotter *Allotter) ask(step *waiting, approval *Approval, approved, unknown []Candidate) {
+	wanted := allotter.assign(step, approved)
+	missing := len(step.tasks) - len(wanted.Tasks)
+	if missing > 0 {
+		whole := allotter.assign(step, append(approved, unknown...))
+		if len(whole.Tasks) == 0 || step.step.Gang && len(whole.Tasks) < len(step.tasks) {
+			return
+		}
+		missing = len(whole.Tasks) - len(wanted.Tasks)
 	}
-	if size := step.step.Held(); size.MilliProcessors > 0 {
-		probe := append(slices.Clone(known), unknown...)[0].Worker
-		tasksEach = int(max(1, probe.Capacity.Sub(probe.Used()).MilliProcessors/size.MilliProcessors))
+	allotter.keep(step, wanted)
+	if approval.Asking {
+		return
 	}
-	needed := (left + tasksEach - 1) / tasksEach
-	question := Question{Step: step.id}
-	for _, candidate := range known {
-		if len(question.Workers) < needed+1 {
-			question.Workers = append(question.Workers, candidate.Worker.Name)
+	question := Question{Step: step.id, Urgency: step.urgency, Latest: step.latest}
+	for at := range wanted.Tasks {
+		name := wanted.Tasks[at].Worker
+		if !slices.Contains(question.Workers, name) && allotter.config.Elapsed >= approval.Tickets[name].Until {
+			question.Workers = append(question.Workers, name)
 		}
 	}
-	if missing := needed - len(question.Workers); missing > 0 || step.step.Gang && len(question.Workers)+ticketed < needed {
-		most := min(askMost, max(askLeast, askedFor*max(1, missing)))
-		for _, candidate := range unknown {
-			if len(question.Workers) >= most {
-				break
-			}
-			question.Workers = append(question.Workers, candidate.Worker.Name)
-		}
+	if missing > 0 {
+		question.Workers = append(question.Workers, names(unknown, min(askMost, max(askLeast, askedFor*missing)))...)
 	}
 	if len(question.Workers) > 0 {
 		allotter.config.Ask(question)
 	}
 }
+
+func names(candidates []Candidate, most int) []modeller.WorkerName {
+	var found []modeller.WorkerName
+	for _, candidate := range candidates[:min(most, len(candidates))] {
+		found = append(found, candidate.Worker.Name)
+	}
+	return found
+}
+
+// keep keeps the room of a placement that waits for leave.
+func (allotter *Allotter) keep(step *waiting, place *stager.Place) {
+	held := step.step.Held()
+	for at := range place.Tasks {
+		name := place.Tasks[at].Worker
+		allotter.kept[name] = allotter.kept[name].Add(held)
+	}
+}
+
+// left is what a worker has left for a step.
+func (allotter *Allotter) left(worker *stager.Worker) modeller.Resources {
+	return worker.Capacity.Sub(worker.Used()).Sub(allotter.kept[worker.Name])
+}
--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -14,8 +14,6 @@
 type approval struct {
 	allotter.Approval
 	asked time.Duration
-	// takes is how long the question under way should take.
-	takes time.Duration
 	// retryAt is when to ask again after a question that failed.
 	retryAt time.Duration
 }
@@ -24,8 +22,6 @@
 	// ticketMargin is left of a ticket's validity for the commit and the way to
 	// the worker.
 	ticketMargin = 200 * time.Millisecond
-	// inquiryGrace is how much longer than it should a question may take.
-	inquiryGrace = 3 * time.Second
 	inquiryPause = 200 * time.Millisecond
 )
 
@@ -51,15 +47,16 @@
 		return
 	}
 	takes := terms.Decide + time.Duration(len(question.Workers))*terms.PerWorker
-	if !conductor.config.Ask(stager.Inquiry{Step: question.Step, Workers: question.Workers, Takes: takes}) {
+	if !conductor.config.Ask(stager.Inquiry{Step: question.Step, Workers: question.Workers, Takes: takes, Urgency: question.Urgency, Latest: question.Latest}) {
 		known.retryAt = now + inquiryPause
 		return
 	}
-	known.Asking, known.asked, known.takes = true, now, takes
+	known.Asking, known.asked = true, now
 }
 
 // advised takes up an adviser's answer.
 func (conductor *Conductor) advised(advice *stager.Advice) {
+	conductor.config.Answered(advice.Step)
 	known := conductor.approvals[advice.Step]
 	if known == nil {
 		return
@@ -96,16 +93,16 @@
 // expireInquiries gives up questions whose answer does not come, and forgets
 // what is known of steps that need no advice any more.
 func (conductor *Conductor) expireInquiries() {
-	now := conductor.config.Clock()
-	for step, known := range conductor.approvals {
+	for _, step := range conductor.config.Lost() {
+		if known := conductor.approvals[step]; known != nil && known.Asking {
+			known.Asking = false
+			logger.Warn(conductor.config.Logger, "advice did not come", "Step", step.String(), "AskedMillisAgo", (conductor.config.Clock() - known.asked).Milliseconds())
+		}
+	}
+	for step := range conductor.approvals {
 		job := conductor.state.Jobs[step.Job]
 		if job == nil || job.Over() || job.Undone(step.Occurrence, step.Step) == 0 {
 			delete(conductor.approvals, step)
-			continue
-		}
-		if known.Asking && now > known.asked+known.takes+inquiryGrace {
-			known.Asking = false
-			logger.Warn(conductor.config.Logger, "advice did not come", "Step", step.String(), "AskedMillis", (now - known.asked).Milliseconds())
 		}
 	}
 }
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -50,9 +50,13 @@
 	Hold  func(context.Context, Target, *HoldOrder) Holding
 	// Ask passes a question on to an adviser. It returns false if nobody can
 	// ask now; otherwise Advise is called with the answer.
-	Ask    func(stager.Inquiry) bool
-	Terms  Terms
-	Logger log.Logger
+	Ask func(stager.Inquiry) bool
+	// Answered is told of each answer, and Lost returns the questions that will
+	// get none.
+	Answered func(stager.StepID)
+	Lost     func() []stager.StepID
+	Terms    Terms
+	Logger   log.Logger
 }
 
 // Terms are the settings of a Conductor.
--- a/internal/cellrunner/staged.go
+++ b/internal/cellrunner/staged.go
@@ -82,17 +82,19 @@
 		return eris.Errorf("epoch %d was followed by %d", epoch, state.Term)
 	}
 	made := conductor.New(conductor.Config{
-		State:   state,
-		Clock:   runner.clock,
-		Now:     runner.now,
-		Leads:   runner.node.Load().Leads,
-		Propose: held.enqueue,
-		Start:   runner.staging.Start,
-		Stop:    runner.staging.Stop,
-		Hold:    runner.staging.Hold,
-		Ask:     held.staged.inquirer.Ask,
-		Terms:   runner.settings.Staged,
-		Logger:  runner.logger,
+		State:    state,
+		Clock:    runner.clock,
+		Now:      runner.now,
+		Leads:    runner.node.Load().Leads,
+		Propose:  held.enqueue,
+		Start:    runner.staging.Start,
+		Stop:     runner.staging.Stop,
+		Hold:     runner.staging.Hold,
+		Ask:      held.staged.inquirer.Ask,
+		Answered: held.staged.inquirer.Answered,
+		Lost:     held.staged.inquirer.Lost,
+		Terms:    runner.settings.Staged,
+		Logger:   runner.logger,
 	})
 	held.staged.conductor.Store(made)
 	return made.Run(held.ctx)
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -12,6 +12,7 @@
 package locator
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -30,7 +31,7 @@
 const (
 	pauseFirst = 20 * time.Millisecond
 	pauseMost  = 500 * time.Millisecond
-	// tryMost bounds one try, so that a paused replica does not hold up a call.
+	// tryMost bounds one try unless the configuration says otherwise.
 	tryMost = 2 * time.Second
 	// doubtedMost bounds one try at a replica that did not answer before.
 	doubtedMost = 500 * time.Millisecond
@@ -41,6 +42,9 @@
 	// Addresses are the replicas known at the start.
 	Addresses []string
 	Transport credentials.TransportCredentials
+	// TryMost bounds one try, so that a paused replica does not hold up a call;
+	// zero stands for tryMost.
+	TryMost time.Duration
 }
 
 // Locator finds the leader. It is safe for concurrent use.
@@ -137,10 +141,11 @@
 func (locator *Locator) patience(address string) time.Duration {
 	locator.mutex.Lock()
 	defer locator.mutex.Unlock()
+	most := cmp.Or(locator.config.TryMost, tryMost)
 	if locator.doubted[address] {
-		return doubtedMost
+		return min(doubtedMost, most)
 	}
-	return tryMost
+	return most
 }
 
 // client returns a client of the replica at the address.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -104,9 +104,16 @@
 	return reply.Completed, nil
 }
 
+// TryMost bounds one try at a replica, for the Locator of a Relayer: callers of
+// staged jobs wait for about three seconds in all.
+const TryMost = 700 * time.Millisecond
+
 const (
 	// sessionPause is how long after a lost leader the next is looked for.
 	sessionPause = 100 * time.Millisecond
+	// silenceMost is how long a leader may say nothing: four of the intervals at
+	// which it does.
+	silenceMost = time.Second
 	// adviseTimeout bounds the passing on of an adviser's answer.
 	adviseTimeout = 2 * time.Second
 )
@@ -117,11 +124,7 @@
 		client, err := relayer.config.Locator.Leader(ctx, relayer.config.Cell)
 		if err == nil {
 			logger.Info(relayer.config.Logger, "leader found")
-			request := &messenger.InquiriesRequest{Cell: relayer.config.Cell, Entry: relayer.config.Name}
-			err = client.Inquiries(ctx, request, func(inquiry *stager.Inquiry) error {
-				go relayer.inquire(ctx, inquiry)
-				return nil
-			})
+			err = relayer.attend(ctx, client)
 		}
 		if err != nil && ctx.Err() == nil {
 			logger.Warn(relayer.config.Logger, "leader lost", "Error", err.Error())
@@ -133,6 +136,26 @@
 	}
 }
 
+// attend takes the leader's questions until the way to it is lost. A leader that
+// is silent is left, since a cut or a freeze breaks no connection.
+func (relayer *Relayer) attend(ctx context.Context, client messenger.CellClient) error {
+	streamCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(silenceMost, func() {
+		relayer.config.Locator.Doubt(client)
+		cancel()
+	})
+	defer silence.Stop()
+	request := &messenger.InquiriesRequest{Cell: relayer.config.Cell, Entry: relayer.config.Name}
+	return client.Inquiries(streamCtx, request, func(inquiry *stager.Inquiry) error {
+		silence.Reset(silenceMost)
+		if len(inquiry.Workers) > 0 {
+			go relayer.inquire(ctx, inquiry)
+		}
+		return nil
+	})
+}
+
 func (relayer *Relayer) inquire(ctx context.Context, inquiry *stager.Inquiry) {
 	advice := relayer.config.Ask(ctx, inquiry)
 	ctx, cancel := context.WithTimeout(ctx, adviseTimeout)
--- a/stager/notice.go
+++ b/stager/notice.go
@@ -22,6 +22,9 @@
 	Step    StepID
 	Workers []modeller.WorkerName
 	Takes   time.Duration
+	// Urgency and Latest order the questions as the waiting steps are ordered.
+	Urgency int
+	Latest  modeller.Millis
 }
 
 // Advice is an adviser's answer. Failed is true if there was none.
