journaler: sync what a killed process had written before building upon it

Cause: a replica killed between a write and its sync read the entry back from the page cache at its next start, began a new segment behind it and never synced the old one. A power loss then took the entry, and the replica refused its own log ("entry 1837 follows entry 1835") at every start.

TestWhatIsReadBackIsDurable fails before.

--- a/journaler/journal_test.go
+++ b/journaler/journal_test.go
@@ -371,3 +371,42 @@
 	model.entries = nil
 	model.hard.Commit = model.snapshot.Index
 }
+
+// TestWhatIsReadBackIsDurable kills the process between a write and its sync,
+// starts it again, and loses power after more was saved: what the second
+// process read and built upon must be on the disk by then.
+func TestWhatIsReadBackIsDurable(t *testing.T) {
+	c := qt.New(t)
+	folder := t.TempDir()
+	durable := make(map[string]int64)
+	syncing := true
+	settings := config(folder)
+	settings.Sync = func(file *os.File) error {
+		info, err := file.Stat()
+		if syncing && err == nil && !info.IsDir() {
+			durable[file.Name()] = info.Size()
+		}
+		return err
+	}
+	entries := chainOf(journaler.Chain{}, 1, 1, 3)
+	first, _, err := journaler.Open(settings)
+	c.Assert(err, qt.IsNil)
+	c.Assert(first.Save(journaler.HardState{Term: 1}, entries[:1]), qt.IsNil)
+	syncing = false
+	c.Assert(first.Save(journaler.HardState{Term: 1}, entries[1:2]), qt.IsNil)
+	syncing = true
+
+	second, recovered, err := journaler.Open(settings)
+	c.Assert(err, qt.IsNil)
+	c.Assert(recovered.Entries, qt.HasLen, 2)
+	c.Assert(second.Save(journaler.HardState{Term: 1}, entries[2:]), qt.IsNil)
+	paths, err := journaler.Segments(folder)
+	c.Assert(err, qt.IsNil)
+	for _, path := range paths {
+		c.Assert(os.Truncate(path, durable[path]), qt.IsNil)
+	}
+
+	_, recovered, err = journaler.Open(settings)
+	c.Assert(err, qt.IsNil)
+	c.Check(recovered.Entries, qt.HasLen, 3)
+}
--- a/journaler/recovery.go
+++ b/journaler/recovery.go
@@ -88,7 +88,8 @@
 
 // segment reads one file. Only the last may have a torn end, which is cut off:
 // its batch was never acknowledged, since a new batch is begun only after the
-// one before it was synced.
+// one before it was synced. The rest of it is synced, since the process may have
+// been killed before its own sync, and later segments build upon it.
 func (recovery *recovery) segment(path string, last bool) error {
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -102,7 +103,7 @@
 		return err
 	}
 	_, size, err := ReadSegment(data, recovery.batch)
-	if errors.Is(err, errTorn) && last {
+	if last && (err == nil || errors.Is(err, errTorn)) {
 		recovery.result.TornBytes += int64(len(data) - size)
 		return recovery.cut(path, size)
 	}
@@ -127,6 +128,7 @@
 	return nil
 }
 
+// cut ends a file at its last whole batch and makes the rest durable.
 func (recovery *recovery) cut(path string, size int) error {
 	file, err := os.OpenFile(path, os.O_WRONLY, filePermission)
 	if err != nil {
