conductor: ending a job's attempts does not trip over their ends, a silent worker's lease ends

Found by the new test of silent workers: each unanswered renewal asked for a later end, so the lease that a worker may have was never over and its tasks never went elsewhere.

--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -71,17 +71,13 @@
 // launch makes the attempts of a placement that the state has taken, and sends
 // their starts once it is committed.
 func (conductor *Conductor) launch(ctx context.Context, place *stager.Place) {
-	type launched struct {
-		link    *link
-		attempt *attempt
-	}
-	all := make([]launched, len(place.Tasks))
+	all := make([]live, len(place.Tasks))
 	for at := range place.Tasks {
 		task := &place.Tasks[at]
 		link := conductor.links[task.Worker]
 		made := &attempt{id: stager.TaskID{StepID: place.Step, Index: task.Index}, number: task.Attempt, ticket: task.Ticket}
 		link.attempts[made.id] = made
-		all[at] = launched{link, made}
+		all[at] = live{link, made}
 		logger.Info(conductor.config.Logger, "task placed", "Task", made.id.String(), "Attempt", made.number, "Worker", task.Worker,
 			"HeardMillisAgo", (conductor.config.Clock() - link.heard).Milliseconds())
 	}
@@ -248,45 +244,54 @@
 	}
 }
 
+// live is an attempt together with its worker.
+type live struct {
+	link    *link
+	attempt *attempt
+}
+
 // abandon stops whatever still runs of a job that is over.
 func (conductor *Conductor) abandon(ctx context.Context, job *stager.Job) {
 	if job.Live() == 0 || job.Status() == stager.Completed {
 		return
 	}
-	for at := range job.Tasks {
-		task := &job.Tasks[at]
-		if !task.Live {
+	var running []live
+	for occurrence := range job.Occurrences() {
+		for step := range uint32(len(job.Steps)) {
+			running = conductor.appendLive(running, job, stager.StepID{Job: job.ID, Occurrence: occurrence, Step: step})
+		}
+	}
+	conductor.stopAll(ctx, running, "its job is over")
+}
+
+// appendLive appends the live attempts of a step.
+func (conductor *Conductor) appendLive(found []live, job *stager.Job, step stager.StepID) []live {
+	tasks := job.StepTasks(step.Occurrence, step.Step)
+	for at := range tasks {
+		link := conductor.links[tasks[at].Worker]
+		if !tasks[at].Live || link == nil {
 			continue
 		}
-		if link := conductor.links[task.Worker]; link != nil {
-			conductor.stopJobAt(ctx, link, job.ID)
+		if attempt := link.attempts[stager.TaskID{StepID: step, Index: uint32(at)}]; attempt != nil {
+			found = append(found, live{link, attempt})
 		}
 	}
+	return found
 }
 
-// stopJobAt stops all attempts of a job on one worker.
-func (conductor *Conductor) stopJobAt(ctx context.Context, link *link, job stager.JobID) {
-	for id, attempt := range link.attempts {
-		if id.Job == job {
-			conductor.stop(ctx, link, attempt, "its job is over")
+// stopAll stops attempts. The end of one may bring about that of others, so each
+// is looked at anew.
+func (conductor *Conductor) stopAll(ctx context.Context, attempts []live, why string) {
+	for _, each := range attempts {
+		if each.link.attempts[each.attempt.id] == each.attempt {
+			conductor.stop(ctx, each.link, each.attempt, why)
 		}
 	}
 }
 
 // breakGang stops the others of a gang's attempt after one has ended early.
 func (conductor *Conductor) breakGang(ctx context.Context, job *stager.Job, ended *attempt) {
-	tasks := job.StepTasks(ended.id.Occurrence, ended.id.Step)
-	for at := range tasks {
-		id := stager.TaskID{StepID: ended.id.StepID, Index: uint32(at)}
-		if !tasks[at].Live || tasks[at].Attempt != ended.number {
-			continue
-		}
-		link := conductor.links[tasks[at].Worker]
-		if link == nil || link.attempts[id] == nil {
-			continue
-		}
-		conductor.stop(ctx, link, link.attempts[id], "another task of its gang has ended")
-	}
+	conductor.stopAll(ctx, conductor.appendLive(nil, job, ended.id.StepID), "another task of its gang has ended")
 }
 
 // Bounds of how long a worker that fails its work gets nothing.
@@ -294,6 +299,8 @@
 	doubtfulAfter = 3
 	avoidFirst    = 2 * time.Second
 	avoidMost     = 16 * time.Second
+	// avoidDoublings is how often the first stay is doubled at most.
+	avoidDoublings = 3
 )
 
 // judge learns from how an attempt ended. A failure speaks against the worker
@@ -314,7 +321,7 @@
 	if link.streak < doubtfulAfter {
 		return
 	}
-	stay := min(avoidMost, avoidFirst<<(link.streak-doubtfulAfter))
+	stay := min(avoidMost, avoidFirst<<min(link.streak-doubtfulAfter, avoidDoublings))
 	link.avoidUntil = conductor.config.Clock() + stay
 	logger.Warn(conductor.config.Logger, "worker avoided", "Worker", link.name, "Streak", link.streak, "ForMillis", stay.Milliseconds(), "Reason", why)
 }
--- /dev/null
+++ b/conductor/conductor_test.go
@@ -0,0 +1,432 @@
+package conductor_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+
+	"github.com/dotterelrill/dotterelrill/coder"
+	"github.com/dotterelrill/dotterelrill/conductor"
+	"github.com/dotterelrill/dotterelrill/modeller"
+	"github.com/dotterelrill/dotterelrill/stager"
+)
+
+// fleet is a conductor with a log that commits when it is told to, and workers
+// that do as they are told.
+type fleet struct {
+	c         *qt.C
+	state     *stager.State
+	conductor *conductor.Conductor
+	ended     chan error
+
+	mutex sync.Mutex
+	// held is closed to let batches be committed, nil if they are at once.
+	held    chan struct{}
+	failing bool
+	running map[modeller.WorkerName]map[string]conductor.StartOrder
+	done    map[modeller.WorkerName][]conductor.EndedAttempt
+	starts  []string
+	stops   []string
+	// observed is the highest that each worker was told to forget.
+	observed map[modeller.WorkerName]uint64
+	// onStart and onHold replace the workers' answers if they are set.
+	onStart func(conductor.Target, *conductor.StartOrder) conductor.Answer
+	onHold  func(conductor.Target, *conductor.HoldOrder) *conductor.Holding
+	lead    bool
+	// last is closed once the batch before is decided.
+	last chan struct{}
+}
+
+const (
+	lease = 600 * time.Millisecond
+	queue = "draw"
+)
+
+func deployment() *stager.Deployment {
+	return &stager.Deployment{
+		Version:  1,
+		Queues:   []stager.Queue{{Name: queue, Host: "h", Prefix: "/q/", Pool: "p", MostFailures: 2, Slack: 2, Allowance: 1000, Timeout: 3000}},
+		Pools:    []stager.Pool{{Name: "p"}},
+		Accounts: []stager.Account{{Name: "a", Weight: 1}},
+	}
+}
+
+// newFleet begins a conductor over a state, or over a new one with a deployment.
+func newFleet(t *testing.T, state *stager.State) *fleet {
+	c := qt.New(t)
+	if state == nil {
+		state = stager.New()
+		c.Assert(state.Apply(&stager.Batch{Term: 1, Sequence: 1, Now: 1, Commands: []stager.Command{
+			{Begin: &stager.Begin{KeepEnded: 100_000}}, {Deploy: deployment()},
+		}}), qt.IsNil)
+	}
+	fleet := &fleet{
+		c: c, state: state, ended: make(chan error, 1), lead: true,
+		running: make(map[modeller.WorkerName]map[string]conductor.StartOrder), done: make(map[modeller.WorkerName][]conductor.EndedAttempt),
+		observed: make(map[modeller.WorkerName]uint64),
+	}
+	begun := time.Now()
+	copied, err := state.Clone()
+	c.Assert(err, qt.IsNil)
+	fleet.conductor = conductor.New(conductor.Config{
+		State:    copied,
+		Clock:    func() time.Duration { return time.Since(begun) + time.Hour },
+		Now:      func() modeller.Millis { return modeller.Millis(time.Now().UnixMilli()) },
+		Leads:    func() bool { fleet.mutex.Lock(); defer fleet.mutex.Unlock(); return fleet.lead },
+		Propose:  fleet.propose,
+		Start:    fleet.start,
+		Stop:     fleet.stop,
+		Hold:     fleet.hold,
+		Ask:      func(stager.Inquiry) bool { return false },
+		Answered: func(stager.StepID) {},
+		Lost:     func() []stager.StepID { return nil },
+		Terms:    conductor.Terms{Lease: lease, StaleAfter: time.Minute, GangWait: time.Second},
+		Logger:   log.NewNopLogger(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { fleet.ended <- fleet.conductor.Run(ctx) }()
+	t.Cleanup(cancel)
+	return fleet
+}
+
+func (fleet *fleet) propose(_ context.Context, batch *stager.Batch) (func(context.Context) error, error) {
+	fleet.mutex.Lock()
+	held, before, done := fleet.held, fleet.last, make(chan struct{})
+	fleet.last = done
+	fleet.mutex.Unlock()
+	return func(context.Context) error {
+		defer close(done)
+		if held != nil {
+			<-held
+		}
+		if before != nil {
+			<-before
+		}
+		fleet.mutex.Lock()
+		defer fleet.mutex.Unlock()
+		if fleet.failing {
+			return fmt.Errorf("lost")
+		}
+		return fleet.state.Apply(batch)
+	}, nil
+}
+
+func (fleet *fleet) start(_ context.Context, target conductor.Target, order *conductor.StartOrder) conductor.Answer {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.starts = append(fleet.starts, order.Task.String())
+	if fleet.onStart != nil {
+		if answer := fleet.onStart(target, order); answer.Outcome != 0 {
+			return answer
+		}
+	}
+	if fleet.running[target.Worker] == nil {
+		fleet.running[target.Worker] = make(map[string]conductor.StartOrder)
+	}
+	fleet.running[target.Worker][order.Task.String()] = *order
+	return conductor.Answer{Outcome: conductor.Obeyed, Clock: clock()}
+}
+
+func (fleet *fleet) stop(_ context.Context, target conductor.Target, order *conductor.StopOrder) conductor.Answer {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.stops = append(fleet.stops, order.Task.String())
+	fleet.finish(target.Worker, order.Task.String(), stager.Stopping)
+	return conductor.Answer{Outcome: conductor.Obeyed, Clock: clock()}
+}
+
+// finish ends what a worker runs. The mutex is held.
+func (fleet *fleet) finish(worker modeller.WorkerName, task string, how stager.Ending) {
+	order, found := fleet.running[worker][task]
+	if !found {
+		return
+	}
+	delete(fleet.running[worker], task)
+	fleet.done[worker] = append(fleet.done[worker], conductor.EndedAttempt{
+		Number: uint64(len(fleet.done[worker]) + 1), Task: order.Task, Attempt: order.Attempt, How: how,
+	})
+}
+
+func (fleet *fleet) hold(_ context.Context, target conductor.Target, order *conductor.HoldOrder) conductor.Holding {
+	time.Sleep(5 * time.Millisecond)
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	if fleet.onHold != nil {
+		if holding := fleet.onHold(target, order); holding != nil {
+			return *holding
+		}
+	}
+	fleet.observed[target.Worker] = max(fleet.observed[target.Worker], order.Observed)
+	holding := conductor.Holding{Answer: conductor.Answer{Outcome: conductor.Obeyed, Clock: clock()}, Life: target.Life}
+	for _, order := range fleet.running[target.Worker] {
+		holding.Running = append(holding.Running, conductor.RunningAttempt{Task: order.Task, Attempt: order.Attempt})
+	}
+	for _, ended := range fleet.done[target.Worker] {
+		if ended.Number > order.Observed {
+			holding.Ended = append(holding.Ended, ended)
+		}
+	}
+	return holding
+}
+
+// clock is every worker's.
+func clock() modeller.Millis { return modeller.Millis(time.Now().UnixMilli()) }
+
+func (fleet *fleet) announce(name string, cores int64) {
+	worker := stager.Worker{
+		Name: modeller.WorkerName(name), Life: 1, Pool: "p", Address: name,
+		Capacity: modeller.Resources{MilliProcessors: 1000 * cores, MemoryMiB: 1000},
+	}
+	refusal := fleet.conductor.Announce(context.Background(), &stager.Announcement{Worker: worker, Clock: clock(), Number: 1})
+	fleet.c.Assert(refusal == nil, qt.IsTrue, qt.Commentf("%v", refusal))
+}
+
+func (fleet *fleet) submit(id string, steps ...stager.Step) {
+	refusal := fleet.conductor.Submit(context.Background(), &stager.Submit{ID: stager.JobID(id), ClientAccount: "a", Queue: queue, Steps: steps})
+	fleet.c.Assert(refusal == nil, qt.IsTrue, qt.Commentf("%v", refusal))
+}
+
+// await waits until a condition on the committed state and the workers holds.
+func (fleet *fleet) await(what string, holds func() bool) {
+	for until := time.Now().Add(5 * time.Second); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		fleet.mutex.Lock()
+		done := holds()
+		fleet.mutex.Unlock()
+		if done {
+			return
+		}
+	}
+	fleet.c.Fatalf("%s did not come about", what)
+}
+
+func (fleet *fleet) status(id string) stager.Status {
+	job := fleet.state.Jobs[stager.JobID(id)]
+	if job == nil {
+		return 0
+	}
+	return job.Status()
+}
+
+func core(tasks uint32) stager.Step {
+	return stager.Step{Tasks: tasks, Size: modeller.Resources{MilliProcessors: 1000, MemoryMiB: 10}, RunTime: 100}
+}
+
+func TestStepsRunOneAfterTheOther(t *testing.T) {
+	fleet := newFleet(t, nil)
+	fleet.announce("w", 4)
+	second := core(1)
+	second.After = []uint32{0}
+	fleet.submit("j", core(2), second)
+	fleet.await("the first step", func() bool { return len(fleet.running["w"]) == 2 })
+	fleet.mutex.Lock()
+	fleet.finish("w", "j.0.0.0", stager.Succeeding)
+	fleet.finish("w", "j.0.0.1", stager.Succeeding)
+	fleet.mutex.Unlock()
+	fleet.await("the second step", func() bool { _, runs := fleet.running["w"]["j.0.1.0"]; return runs })
+	fleet.mutex.Lock()
+	fleet.finish("w", "j.0.1.0", stager.Succeeding)
+	fleet.mutex.Unlock()
+	fleet.await("the job's end", func() bool { return fleet.status("j") == stager.Completed && fleet.observed["w"] == 3 })
+}
+
+func TestNothingIsSentBeforeItIsCommitted(t *testing.T) {
+	fleet := newFleet(t, nil)
+	fleet.announce("w", 4)
+	fleet.mutex.Lock()
+	fleet.held = make(chan struct{})
+	fleet.mutex.Unlock()
+	answered := make(chan struct{})
+	go func() { fleet.submit("j", core(1)); close(answered) }()
+	time.Sleep(100 * time.Millisecond)
+	fleet.mutex.Lock()
+	fleet.c.Check(fleet.starts, qt.HasLen, 0)
+	held := fleet.held
+	fleet.held = nil
+	fleet.mutex.Unlock()
+	select {
+	case <-answered:
+		fleet.c.Fatal("acknowledged before it was committed")
+	default:
+	}
+	close(held)
+	<-answered
+	fleet.await("the start", func() bool { return len(fleet.starts) == 1 })
+}
+
+// TestCancelOfPlacementsThatAreNotCommitted ends several attempts of a job at
+// once, the last of which ends the job's records too.
+func TestCancelOfPlacementsThatAreNotCommitted(t *testing.T) {
+	fleet := newFleet(t, nil)
+	fleet.announce("w", 8)
+	fleet.submit("other", core(1))
+	fleet.await("a start", func() bool { return len(fleet.starts) == 1 })
+	fleet.mutex.Lock()
+	fleet.held = make(chan struct{})
+	held := fleet.held
+	fleet.mutex.Unlock()
+	done := make(chan *coder.Refusal, 1)
+	go func() { fleet.submit("j", core(5)) }()
+	time.Sleep(50 * time.Millisecond)
+	go func() { done <- fleet.conductor.Cancel(context.Background(), "j") }()
+	time.Sleep(50 * time.Millisecond)
+	fleet.mutex.Lock()
+	fleet.held = nil
+	fleet.mutex.Unlock()
+	close(held)
+	fleet.c.Check(<-done == nil, qt.IsTrue)
+	fleet.await("the cancellation", func() bool { return fleet.status("j") == stager.Cancelled })
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.c.Check(fleet.starts, qt.DeepEquals, []string{"other.0.0.0"})
+}
+
+func TestAFailedTaskIsTriedAgainAndThenItsJobFails(t *testing.T) {
+	fleet := newFleet(t, nil)
+	fleet.announce("w", 4)
+	fleet.submit("j", core(1))
+	for attempt := range 2 {
+		fleet.await("an attempt", func() bool { return len(fleet.starts) == attempt+1 && len(fleet.running["w"]) == 1 })
+		fleet.mutex.Lock()
+		fleet.finish("w", "j.0.0.0", stager.Failing)
+		fleet.mutex.Unlock()
+	}
+	fleet.await("the job's failure", func() bool { return fleet.status("j") == stager.Failed })
+}
+
+// TestAnUnansweredStartIsNotPlacedElsewhereBeforeItsStop has starts that come
+// without an answer and may be carried out later.
+func TestAnUnansweredStartIsNotPlacedElsewhereBeforeItsStop(t *testing.T) {
+	fleet := newFleet(t, nil)
+	fleet.announce("w1", 4)
+	fleet.mutex.Lock()
+	fleet.onStart = func(target conductor.Target, _ *conductor.StartOrder) conductor.Answer {
+		if target.Worker == "w1" {
+			return conductor.Answer{Outcome: conductor.Unanswered}
+		}
+		fleet.c.Check(slices.Contains(fleet.stops, "j.0.0.0"), qt.IsTrue, qt.Commentf("placed again before the stop was acknowledged"))
+		return conductor.Answer{}
+	}
+	fleet.mutex.Unlock()
+	fleet.submit("j", core(1))
+	fleet.await("a start", func() bool { return len(fleet.starts) > 0 })
+	fleet.announce("w2", 4)
+	fleet.await("the task elsewhere", func() bool { return len(fleet.running["w2"]) == 1 })
+}
+
+// TestASilentWorkersTasksWaitForItsLease expects a task elsewhere only after
+// the lease that its worker was given is over.
+func TestASilentWorkersTasksWaitForItsLease(t *testing.T) {
+	fleet := newFleet(t, nil)
+	fleet.announce("w1", 4)
+	fleet.submit("j", core(1))
+	fleet.await("a start", func() bool { return len(fleet.running["w1"]) == 1 })
+	var expires modeller.Millis
+	fleet.mutex.Lock()
+	fleet.onHold = func(target conductor.Target, order *conductor.HoldOrder) *conductor.Holding {
+		if target.Worker != "w1" {
+			return nil
+		}
+		expires = max(expires, order.Expires)
+		return &conductor.Holding{Answer: conductor.Answer{Outcome: conductor.Unanswered}}
+	}
+	fleet.mutex.Unlock()
+	time.Sleep(lease)
+	fleet.mutex.Lock()
+	fleet.lead = true
+	fleet.mutex.Unlock()
+	fleet.announce("w2", 4)
+	fleet.await("the task elsewhere", func() bool { return len(fleet.running["w2"]) == 1 })
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.c.Check(expires > 0, qt.IsTrue)
+	fleet.c.Check(clock() > expires, qt.IsTrue, qt.Commentf("%d ms before the lease's end", expires-clock()))
+}
+
+// TestALaterLeaderTakesOver lets a conductor go on from what another committed.
+func TestALaterLeaderTakesOver(t *testing.T) {
+	first := newFleet(t, nil)
+	first.announce("w", 4)
+	first.submit("j", core(2))
+	first.await("the starts", func() bool { return len(first.running["w"]) == 2 })
+	first.mutex.Lock()
+	first.failing = true
+	state, running, starts := first.state, first.running, len(first.starts)
+	first.mutex.Unlock()
+	first.c.Assert(state.Apply(&stager.Batch{Term: 2, Sequence: 1, Now: 1, Commands: []stager.Command{{Begin: &stager.Begin{KeepEnded: 1000}}}}), qt.IsNil)
+
+	second := newFleet(t, state)
+	second.mutex.Lock()
+	second.running = running
+	second.mutex.Unlock()
+	second.mutex.Lock()
+	second.finish("w", "j.0.0.0", stager.Succeeding)
+	second.finish("w", "j.0.0.1", stager.Succeeding)
+	second.mutex.Unlock()
+	second.await("the job's end", func() bool { return second.status("j") == stager.Completed })
+	second.c.Check(starts, qt.Equals, 2)
+	second.c.Check(len(second.starts) <= 2, qt.IsTrue)
+}
+
+func TestAConductorEndsWhenABatchIsLost(t *testing.T) {
+	fleet := newFleet(t, nil)
+	fleet.mutex.Lock()
+	fleet.failing = true
+	fleet.mutex.Unlock()
+	refusal := fleet.conductor.Submit(context.Background(), &stager.Submit{ID: "j", Queue: queue, Steps: []stager.Step{core(1)}})
+	fleet.c.Assert(refusal != nil, qt.IsTrue)
+	fleet.c.Check(refusal.Code, qt.Equals, coder.Unknown, qt.Commentf("another leader may still commit it"))
+	fleet.c.Check(<-fleet.ended, qt.ErrorIs, conductor.ErrReplaced)
+}
+
+func TestDeployments(t *testing.T) {
+	fleet := newFleet(t, nil)
+	deploy := func(change func(*stager.Deployment)) coder.Code {
+		made := deployment()
+		change(made)
+		if refusal := fleet.conductor.Deploy(context.Background(), made); refusal != nil {
+			return refusal.Code
+		}
+		return coder.OK
+	}
+	fleet.c.Check(deploy(func(made *stager.Deployment) { made.Version = 3 }), qt.Equals, coder.OK)
+	fleet.c.Check(deploy(func(made *stager.Deployment) { made.Version = 3 }), qt.Equals, coder.OK)
+	fleet.c.Check(deploy(func(*stager.Deployment) {}), qt.Equals, coder.OK, qt.Commentf("an older one is acknowledged"))
+	fleet.c.Check(deploy(func(made *stager.Deployment) { made.Version, made.Digest[0] = 3, 1 }), qt.Equals, coder.RevisionConflict)
+	fleet.c.Check(deploy(func(made *stager.Deployment) { made.Version, made.Queues[0].Timeout = 4, 0 }), qt.Equals, coder.BadTemplate)
+	fleet.c.Check(deploy(func(made *stager.Deployment) { made.Version, made.Queues[0].Pool = 4, "other" }), qt.Equals, coder.BadTemplate)
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.c.Check(fleet.state.Deployment.Version, qt.Equals, uint64(3))
+}
+
+func TestAGangStopsWhenOneOfItCannotStart(t *testing.T) {
+	fleet := newFleet(t, nil)
+	fleet.announce("w1", 1)
+	fleet.announce("w2", 1)
+	refused := false
+	fleet.mutex.Lock()
+	fleet.onStart = func(target conductor.Target, _ *conductor.StartOrder) conductor.Answer {
+		if target.Worker == "w2" && !refused {
+			refused = true
+			return conductor.Answer{Outcome: conductor.Rejected, Reason: conductor.Unhealthy}
+		}
+		return conductor.Answer{}
+	}
+	fleet.mutex.Unlock()
+	gang := core(2)
+	gang.Gang = true
+	fleet.submit("j", gang)
+	fleet.await("the whole gang", func() bool {
+		return len(fleet.running["w1"]) == 1 && len(fleet.running["w2"]) == 1 &&
+			fleet.running["w1"]["j.0.0.0"].Attempt+fleet.running["w1"]["j.0.0.1"].Attempt == 2
+	})
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.c.Check(len(fleet.stops) >= 1, qt.IsTrue)
+}
--- a/conductor/link.go
+++ b/conductor/link.go
@@ -141,11 +141,16 @@
 	return link.clock + passed - passed/driftDivisor
 }
 
-// leaseEnd is the end of the lease to ask for now, on the worker's clock.
+// leaseEnd is the end of the lease to ask for now, on the worker's clock, or zero
+// if none may be given. A worker that does not answer gets no longer one, so
+// that its lease ends.
 func (conductor *Conductor) leaseEnd(link *link) modeller.Millis {
 	if link.clock == 0 || !conductor.config.Leads() {
 		return 0
 	}
+	if link.misses > 0 {
+		return link.expires
+	}
 	end := conductor.clockNow(link) + millis(conductor.config.Terms.Lease)
 	link.expires = max(link.expires, end)
 	return end
