Take up settings on SIGHUP, refuse at once when there is no leader

Change: SIGHUP reloads what a running program can take up. Entries know by the leader's heartbeats whether there is one; without one a request is refused after 300 ms with a time to come back.

TestHangupEndsNoProgram fails before.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
@@ -356,13 +357,16 @@
 	first.await("the starts", func() bool { return len(first.running["w"]) == 2 })
 	first.mutex.Lock()
 	first.failing = true
-	state, running, starts := first.state, first.running, len(first.starts)
+	state, running, starts := first.state, maps.Clone(first.running["w"]), len(first.starts)
 	first.mutex.Unlock()
+	first.conductor.Cancel(context.Background(), "unknown")
+	_ = first.conductor.Deploy(context.Background(), &stager.Deployment{Version: 9})
+	first.c.Assert(<-first.ended, qt.ErrorIs, conductor.ErrReplaced)
 	first.c.Assert(state.Apply(&stager.Batch{Term: 2, Sequence: 1, Now: 1, Commands: []stager.Command{{Begin: &stager.Begin{KeepEnded: 1000}}}}), qt.IsNil)
 
 	second := newFleet(t, state)
 	second.mutex.Lock()
-	second.running = running
+	second.running["w"] = running
 	second.mutex.Unlock()
 	second.mutex.Lock()
 	second.finish("w", "j.0.0.0", stager.Succeeding)
--- a/internal/launcher/graceful_test.go
+++ b/internal/launcher/graceful_test.go
@@ -234,3 +234,15 @@
 	_, err := worker.Stop(time.Second)
 	path.c.Check(err, qt.IsNil)
 }
+
+func TestHangupEndsNoProgram(t *testing.T) {
+	path := startPath(t, launcher.Worker{Name: "w1", DataCentre: "dc1", Rack: "r1"})
+	processes := append(path.fleet.Cells, path.fleet.Entries...)
+	for _, process := range processes {
+		process.Signal(syscall.SIGHUP)
+	}
+	path.c.Assert(path.outcome(path.submit("after", 1, 50*time.Millisecond)).Outcome, qt.Equals, "Succeeded")
+	for _, process := range processes {
+		path.c.Check(process.Alive(), qt.IsTrue, qt.Commentf("%s", process.Name))
+	}
+}
--- a/internal/programmer/programmer.go
+++ b/internal/programmer/programmer.go
@@ -31,6 +31,9 @@
 	Settings *configurer.Set
 	// Run works until the context ends.
 	Run func(ctx context.Context, logger log.Logger) error
+	// Reload takes up a settings file that has changed, as far as a running
+	// program can. It is nil if the program reads its settings once.
+	Reload func(path string) error
 }
 
 // Main runs a daemon and returns its exit status.
@@ -56,14 +59,39 @@
 	if *check {
 		return StatusOK
 	}
-	return serve(daemon, logger.New(stderr, program))
+	return serve(daemon, *path, logger.New(stderr, program))
 }
 
-func serve(daemon Daemon, lines log.Logger) int {
+// reloadOnHangup takes up the settings with each SIGHUP, which does not end the
+// program.
+func reloadOnHangup(ctx context.Context, daemon Daemon, path string, lines log.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		if daemon.Reload == nil {
+			logger.Info(lines, "settings are read at the start only")
+			continue
+		}
+		if err := daemon.Reload(path); err != nil {
+			logger.Warn(lines, "settings not reloaded", "Error", err.Error())
+			continue
+		}
+		logger.Info(lines, "settings reloaded")
+	}
+}
+
+func serve(daemon Daemon, path string, lines log.Logger) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	// A second signal ends the program at once, as signals do by default.
 	context.AfterFunc(ctx, stop)
+	go reloadOnHangup(ctx, daemon, path, lines)
 	logger.Info(lines, "started")
 	if err := daemon.Run(ctx, lines); err != nil {
 		logger.Error(lines, "ended with a fault", "Error", err.Error())
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -33,10 +34,40 @@
 // Relayer passes requests on. It is safe for concurrent use.
 type Relayer struct {
 	config Config
+	// session ends when the leader is lost; it is nil in a process that attends
+	// none.
+	session atomic.Pointer[context.Context]
 }
 
 // New returns a relayer.
-func New(config Config) *Relayer { return &Relayer{config: config} }
+func New(config Config) *Relayer {
+	relayer := &Relayer{config: config}
+	if config.Ask != nil {
+		lost, cancel := context.WithCancel(context.Background())
+		cancel()
+		relayer.session.Store(&lost)
+	}
+	return relayer
+}
+
+// leaderlessMost is how long a request waits for a leader when there is none. An
+// election takes longer: whoever asks is told to come back rather than held.
+const leaderlessMost = 300 * time.Millisecond
+
+// bounded returns a context that ends soon after the leader is lost, so that a
+// request that cannot be served is refused at once.
+func (relayer *Relayer) bounded(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	session := relayer.session.Load()
+	if session == nil {
+		return ctx, cancel
+	}
+	stop := context.AfterFunc(*session, func() { time.AfterFunc(leaderlessMost, cancel) })
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
 
 // ask makes one call to the leader. The reply is nil if it was refused.
 func ask[Request, Reply any](ctx context.Context, relayer *Relayer,
@@ -63,12 +94,16 @@
 // Submit passes a job on.
 func (relayer *Relayer) Submit(ctx context.Context, request *messenger.StagedSubmitRequest) *coder.Refusal {
 	request.Cell = relayer.config.Cell
+	ctx, cancel := relayer.bounded(ctx)
+	defer cancel()
 	_, refusal := ask(ctx, relayer, messenger.CellClient.StagedSubmit, refusalOf, request)
 	return refusal
 }
 
 // Job passes a question about a job or queue on.
 func (relayer *Relayer) Job(ctx context.Context, place messenger.Place, question messenger.JobQuestion) (*messenger.StagedReply, *coder.Refusal) {
+	ctx, cancel := relayer.bounded(ctx)
+	defer cancel()
 	request := &messenger.StagedJobRequest{Cell: relayer.config.Cell, Place: place, Question: question}
 	return ask(ctx, relayer, messenger.CellClient.StagedJob, refusalOf, request)
 }
@@ -141,6 +176,7 @@
 func (relayer *Relayer) attend(ctx context.Context, client messenger.CellClient) error {
 	streamCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	relayer.session.Store(&streamCtx)
 	silence := time.AfterFunc(silenceMost, func() {
 		relayer.config.Locator.Doubt(client)
 		cancel()
