--- a/internal/cellrunner/staged.go
+++ b/internal/cellrunner/staged.go
@@ -129,23 +129,23 @@
 }
 
 // conducting returns the present conductor, or why there is none here.
-func (runner *Runner) conducting(cell modeller.CellName) (*conductor.Conductor, *leadership, *coder.Refusal) {
+func (runner *Runner) conducting(cell modeller.CellName) (*conductor.Conductor, *coder.Refusal) {
 	held, refusal := runner.leading(cell)
 	if refusal != nil {
-		return nil, nil, refusal
+		return nil, refusal
 	}
 	made := held.staged.conductor.Load()
 	if made == nil {
-		return nil, nil, runner.notLeader()
+		return nil, runner.notLeader()
 	}
-	return made, held, nil
+	return made, nil
 }
 
 // readStaged reads the committed state of staged jobs. What was read counts only
 // if this replica still leads after that, so that one which was paused on the
 // way tells nothing old.
 func (runner *Runner) readStaged(cell modeller.CellName, read func(*stager.State) *coder.Refusal) *coder.Refusal {
-	if _, _, refusal := runner.conducting(cell); refusal != nil {
+	if _, refusal := runner.conducting(cell); refusal != nil {
 		return refusal
 	}
 	var answer *coder.Refusal
@@ -157,7 +157,7 @@
 		}
 		answer = read(state.Staged)
 	})
-	if _, _, refusal := runner.conducting(cell); refusal != nil {
+	if _, refusal := runner.conducting(cell); refusal != nil {
 		return refusal
 	}
 	return answer
--- a/internal/cellrunner/stagedservice.go
+++ b/internal/cellrunner/stagedservice.go
@@ -28,7 +28,7 @@
 }
 
 func (runner *Runner) stagedSubmit(ctx context.Context, request *messenger.StagedSubmitRequest) (*messenger.StagedReply, error) {
-	made, _, refusal := runner.conducting(request.Cell)
+	made, refusal := runner.conducting(request.Cell)
 	if refusal != nil {
 		return reply(refusal)
 	}
@@ -68,7 +68,7 @@
 		return coder.Refuse(coder.UnknownJob, "no job %s", id)
 	})
 	if answer.Refusal == nil && request.Question == messenger.AskCancel {
-		made, _, refusal := runner.conducting(request.Cell)
+		made, refusal := runner.conducting(request.Cell)
 		if refusal != nil {
 			return reply(refusal)
 		}
@@ -78,7 +78,7 @@
 }
 
 func (runner *Runner) deploy(ctx context.Context, request *messenger.DeployRequest) (*messenger.StagedReply, error) {
-	made, _, refusal := runner.conducting(request.Cell)
+	made, refusal := runner.conducting(request.Cell)
 	if refusal != nil {
 		return reply(refusal)
 	}
@@ -95,7 +95,7 @@
 }
 
 func (runner *Runner) announce(ctx context.Context, request *messenger.AnnounceRequest) (*messenger.StagedReply, error) {
-	made, _, refusal := runner.conducting(request.Cell)
+	made, refusal := runner.conducting(request.Cell)
 	if refusal != nil {
 		return reply(refusal)
 	}
@@ -106,7 +106,7 @@
 }
 
 func (runner *Runner) advise(_ context.Context, request *messenger.AdviseRequest) (*messenger.StagedReply, error) {
-	made, _, refusal := runner.conducting(request.Cell)
+	made, refusal := runner.conducting(request.Cell)
 	if refusal == nil {
 		made.Advise(&request.Advice)
 	}
@@ -115,7 +115,7 @@
 
 func (runner *Runner) wave(ctx context.Context, request *messenger.WaveRequest) (*messenger.WaveReply, error) {
 	answer := &messenger.WaveReply{}
-	made, _, refusal := runner.conducting(request.Cell)
+	made, refusal := runner.conducting(request.Cell)
 	if refusal == nil && request.Start != nil {
 		refusal = made.StartWave(ctx, request.Start)
 	}
