conductor: nothing is sent before its placement is committed

Cause: the tick that looks after attempts also sent the starts of placements whose batch was under way. Ruled out: a lost commit (the later leader's log never held the first placement).

--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -15,6 +15,8 @@
 const (
 	// placed means that the placement is not committed; nothing was sent.
 	placed attemptState = iota
+	// committed means that the start may be sent.
+	committed
 	// sent means that a start is under way or was not answered.
 	sent
 	// running means that the worker has said that it runs.
@@ -87,6 +89,7 @@
 		}
 		for _, each := range all {
 			if each.link.attempts[each.attempt.id] == each.attempt {
+				each.attempt.state = committed
 				conductor.pursue(ctx, each.link, each.attempt)
 			}
 		}
@@ -100,11 +103,11 @@
 		return
 	}
 	switch {
-	case attempt.stopping && attempt.state == placed && !attempt.unsure:
+	case attempt.stopping && attempt.state <= committed:
 		conductor.endAttempt(ctx, link, attempt, stager.Refusing, "")
 	case attempt.stopping && attempt.stopped == 0:
 		conductor.sendStop(ctx, link, attempt)
-	case !attempt.stopping && attempt.state != running:
+	case !attempt.stopping && (attempt.state == committed || attempt.state == sent):
 		conductor.sendStart(ctx, link, attempt)
 	}
 }
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -245,7 +245,8 @@
 	fleet.mutex.Unlock()
 	answered := make(chan struct{})
 	go func() { fleet.submit("j", core(1)); close(answered) }()
-	time.Sleep(100 * time.Millisecond)
+	// Longer than several ticks of the conductor.
+	time.Sleep(450 * time.Millisecond)
 	fleet.mutex.Lock()
 	fleet.c.Check(fleet.starts, qt.HasLen, 0)
 	held := fleet.held
--- a/internal/cellrunner/runner.go
+++ b/internal/cellrunner/runner.go
@@ -3,12 +3,14 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -186,6 +188,10 @@
 	}
 }
 
+// fullDiskPause is how long after a full disk kept the journal from being opened
+// it is tried again.
+const fullDiskPause = 500 * time.Millisecond
+
 func (runner *Runner) replicate(ctx context.Context) error {
 	if !runner.formation.known.Load().Formed {
 		if err := runner.formation.run(ctx); err != nil {
@@ -196,6 +202,14 @@
 		}
 	}
 	node, journal, err := runner.openNode(ctx)
+	for errors.Is(err, syscall.ENOSPC) && ctx.Err() == nil {
+		logger.Warn(runner.logger, "the disk takes no more", "Error", err.Error())
+		select {
+		case <-ctx.Done():
+		case <-time.After(fullDiskPause):
+		}
+		node, journal, err = runner.openNode(ctx)
+	}
 	if err != nil {
 		return err
 	}
