--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -99,11 +99,20 @@
 	latest modeller.Millis
 }
 
+// Summary counts the steps of one pass by what became of them.
+type Summary struct {
+	// Placed were placed whole, Asking wait for an adviser, NoRoom for workers
+	// and AtLimit for their client account's other work.
+	Placed, Asking, NoRoom, AtLimit int
+}
+
 // Run proposes placements and questions in the order of the waiting steps.
-func (allotter *Allotter) Run() {
+func (allotter *Allotter) Run() Summary {
+	var summary Summary
 	for _, step := range allotter.order() {
-		allotter.serve(step)
+		*allotter.serve(step, &summary)++
 	}
+	return summary
 }
 
 // order returns the steps that wait for nothing but room.
@@ -152,23 +161,28 @@
 }
 
 // serve places what it can of a step, and asks about workers if that is what
-// it lacks.
-func (allotter *Allotter) serve(step *waiting) {
+// it lacks. It returns which count of the summary the step belongs to.
+func (allotter *Allotter) serve(step *waiting, summary *Summary) *int {
 	if !step.step.Size.Fits(allotter.config.State.Room(step.job.ClientAccount)) {
-		return
+		return &summary.AtLimit
 	}
 	options := allotter.options(step)
 	if step.queue.Advised == nil {
-		allotter.place(step, options)
-		return
+		if allotter.place(step, options) == len(step.tasks) {
+			return &summary.Placed
+		}
+		return &summary.NoRoom
 	}
 	approval := allotter.config.Approval(step.id)
 	ticketed, known, unknown := allotter.split(approval, options)
 	if allotter.place(step, ticketed) == len(step.tasks) {
-		return
+		return &summary.Placed
 	}
 	step.tasks = step.job.Waiting(step.id.Occurrence, step.id.Step)
-	allotter.ask(step, approval, append(ticketed, known...), unknown)
+	if allotter.ask(step, approval, append(ticketed, known...), unknown) {
+		return &summary.Asking
+	}
+	return &summary.NoRoom
 }
 
 // options returns the workers that could take one task, best first.
@@ -302,20 +316,21 @@
 
 // ask asks about the workers that the step would be placed on if its tickets
 // held, and about new ones if those do not suffice. The room is kept from less
-// urgent steps meanwhile. A gang that would not fit even so asks nothing.
-func (allotter *Allotter) ask(step *waiting, approval *Approval, approved, unknown []Candidate) {
+// urgent steps meanwhile. A gang that would not fit even so asks nothing. It
+// returns whether an answer is waited for.
+func (allotter *Allotter) ask(step *waiting, approval *Approval, approved, unknown []Candidate) bool {
 	wanted := allotter.assign(step, approved)
 	missing := len(step.tasks) - len(wanted.Tasks)
 	if missing > 0 {
 		whole := allotter.assign(step, append(approved, unknown...))
 		if len(whole.Tasks) == 0 || step.step.Gang && len(whole.Tasks) < len(step.tasks) {
-			return
+			return false
 		}
 		missing = len(whole.Tasks) - len(wanted.Tasks)
 	}
 	allotter.keep(step, wanted)
 	if approval.Asking {
-		return
+		return true
 	}
 	question := Question{Step: step.id, Urgency: step.urgency, Latest: step.latest}
 	for at := range wanted.Tasks {
@@ -330,6 +345,7 @@
 	if len(question.Workers) > 0 {
 		allotter.config.Ask(question)
 	}
+	return len(question.Workers) > 0
 }
 
 func names(candidates []Candidate, most int) []modeller.WorkerName {
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -21,6 +21,7 @@
 	"github.com/go-kit/log"
 	"github.com/rotisserie/eris"
 
+	"github.com/dotterelrill/dotterelrill/allotter"
 	"github.com/dotterelrill/dotterelrill/modeller"
 	"github.com/dotterelrill/dotterelrill/stager"
 )
@@ -89,6 +90,10 @@
 	approvals map[stager.StepID]*approval
 	// begun is when the conductor began, on its clock.
 	begun time.Duration
+	// summary is that of the last pass over the waiting steps, and reportAt is
+	// when the load is logged next.
+	summary  allotter.Summary
+	reportAt time.Duration
 	// dirty is true if a pass over the waiting steps may place something.
 	dirty bool
 }
@@ -253,6 +258,7 @@
 		conductor.watch(ctx, link)
 	}
 	conductor.expireInquiries()
+	conductor.report()
 	conductor.dirty = true
 }
 
--- a/conductor/plan.go
+++ b/conductor/plan.go
@@ -4,8 +4,11 @@
 	"cmp"
 	"context"
 	"slices"
+	"time"
 
 	"github.com/dotterelrill/dotterelrill/allotter"
+	"github.com/dotterelrill/dotterelrill/internal/logger"
+	"github.com/dotterelrill/dotterelrill/modeller"
 	"github.com/dotterelrill/dotterelrill/stager"
 )
 
@@ -16,7 +19,7 @@
 		return
 	}
 	conductor.dirty = false
-	allotter.New(allotter.Config{
+	conductor.summary = allotter.New(allotter.Config{
 		State:      conductor.state,
 		Now:        conductor.config.Now(),
 		Elapsed:    conductor.elapsed(),
@@ -33,6 +36,27 @@
 	}).Run()
 }
 
+// reportInterval is how often the load is logged.
+const reportInterval = time.Second
+
+// report logs the load, so that it can be told afterwards what a job waited for.
+func (conductor *Conductor) report() {
+	now := conductor.config.Clock()
+	if now < conductor.reportAt {
+		return
+	}
+	conductor.reportAt = now + reportInterval
+	usable := conductor.candidates()
+	var free modeller.Resources
+	for _, candidate := range usable {
+		free = free.Add(candidate.Worker.Capacity.Sub(candidate.Worker.Used()))
+	}
+	summary := conductor.summary
+	logger.Info(conductor.config.Logger, "load", "OpenJobs", len(conductor.state.Open()), "StepsAsking", summary.Asking, "StepsWithoutRoom", summary.NoRoom,
+		"StepsAtLimit", summary.AtLimit, "Workers", len(conductor.links), "Usable", len(usable),
+		"FreeMilliProcessors", free.MilliProcessors, "FreeMemoryMiB", free.MemoryMiB, "BatchesInFlight", conductor.inFlight)
+}
+
 // candidates returns the workers that may get work now, in a stable order.
 func (conductor *Conductor) candidates() []allotter.Candidate {
 	now := conductor.config.Clock()
