--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -305,14 +305,10 @@
 	return options
 }
 
-// Bounds of a question. An adviser takes time for each worker named, and
-// approves of a part of them only.
-const (
-	// askedFor is how many new workers are named for each that is needed.
-	askedFor = 3
-	askLeast = 6
-	askMost  = 30
-)
+// askMost is how many workers a question names. An adviser approves of a part of
+// them only, and takes far longer for a second question than for more workers
+// in the first; jobs are given the time for this many.
+const askMost = 30
 
 // ask asks about the workers that the step would be placed on if its tickets
 // held, and about new ones if those do not suffice. The room is kept from less
@@ -340,7 +336,7 @@
 		}
 	}
 	if missing > 0 {
-		question.Workers = append(question.Workers, names(unknown, min(askMost, max(askLeast, askedFor*missing)))...)
+		question.Workers = append(question.Workers, names(unknown, askMost-len(question.Workers))...)
 	}
 	if len(question.Workers) > 0 {
 		allotter.config.Ask(question)
--- /dev/null
+++ b/allotter/allotter_test.go
@@ -0,0 +1,219 @@
+package allotter_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dotterelrill/dotterelrill/allotter"
+	"github.com/dotterelrill/dotterelrill/modeller"
+	"github.com/dotterelrill/dotterelrill/stager"
+)
+
+// load is a state with waiting jobs, and what one pass makes of it.
+type load struct {
+	c         *qt.C
+	state     *stager.State
+	approvals map[stager.StepID]*allotter.Approval
+	placed    []string
+	asked     []allotter.Question
+	now       modeller.Millis
+}
+
+const cores = 8
+
+// newLoad has workers of 8 cores and two queues: swap is urgent and short, draw
+// is for long gangs. Advised queues need an adviser's leave.
+func newLoad(t *testing.T, workers int, advised bool) *load {
+	c := qt.New(t)
+	load := &load{c: c, state: stager.New(), approvals: make(map[stager.StepID]*allotter.Approval), now: 1000}
+	made := &stager.Deployment{
+		Version:  1,
+		Pools:    []stager.Pool{{Name: "p"}},
+		Accounts: []stager.Account{{Name: "a"}, {Name: "small", Limit: modeller.Resources{MilliProcessors: 1000}}},
+	}
+	for name, slack := range map[modeller.QueueName]float64{"swap": 1.5, "draw": 2} {
+		queue := stager.Queue{Name: name, Host: "h", Prefix: "/" + string(name) + "/", Pool: "p", MostFailures: 3, Slack: slack, Allowance: 200, Timeout: 3000}
+		if advised {
+			queue.Advised = &stager.Advised{}
+		}
+		made.Queues = append(made.Queues, queue)
+	}
+	load.do(stager.Command{Deploy: made})
+	for at := range workers {
+		load.do(stager.Command{Admit: &stager.Worker{
+			Name: modeller.WorkerName(fmt.Sprintf("w%02d", at)), Life: 1, Pool: "p", Rack: modeller.RackName(fmt.Sprint("r", at/2)),
+			Capacity: modeller.Resources{MilliProcessors: 1000 * cores, MemoryMiB: 8000},
+		}})
+	}
+	return load
+}
+
+func (load *load) do(command stager.Command) {
+	load.state.Now = load.now
+	load.c.Assert(load.state.Do(&command), qt.IsNil)
+}
+
+func (load *load) submit(id, queue string, step stager.Step) {
+	load.do(stager.Command{Submit: &stager.Submit{ID: stager.JobID(id), ClientAccount: "a", Queue: modeller.QueueName(queue), Steps: []stager.Step{step}}})
+}
+
+func step(tasks uint32, cores int64, runTime modeller.Millis) stager.Step {
+	return stager.Step{Tasks: tasks, Size: modeller.Resources{MilliProcessors: 1000 * cores, MemoryMiB: 100}, RunTime: runTime}
+}
+
+func (load *load) approval(step stager.StepID) *allotter.Approval {
+	known := load.approvals[step]
+	if known == nil {
+		known = &allotter.Approval{Tickets: make(map[modeller.WorkerName]allotter.Ticket), Refused: make(map[modeller.WorkerName]stager.Life)}
+		load.approvals[step] = known
+	}
+	return known
+}
+
+func (load *load) run() allotter.Summary {
+	load.placed, load.asked = nil, nil
+	config := allotter.Config{
+		State: load.state, Now: load.now, Elapsed: load.now, Approval: load.approval,
+		Place: func(place *stager.Place) error {
+			load.state.Now = load.now
+			if err := load.state.Do(&stager.Command{Place: place}); err != nil {
+				return err
+			}
+			for range place.Tasks {
+				load.placed = append(load.placed, string(place.Step.Job))
+			}
+			return nil
+		},
+		Ask: func(question allotter.Question) {
+			load.asked = append(load.asked, question)
+			load.approval(question.Step).Asking = true
+		},
+	}
+	for at := range len(load.state.Workers) {
+		config.Candidates = append(config.Candidates, allotter.Candidate{Worker: load.state.Workers[modeller.WorkerName(fmt.Sprintf("w%02d", at))]})
+	}
+	return allotter.New(config).Run()
+}
+
+// answer approves of the workers asked about for which approved holds.
+func (load *load) answer(question allotter.Question, approved func(modeller.WorkerName) bool) {
+	known := load.approval(question.Step)
+	known.Asking = false
+	for _, name := range question.Workers {
+		if approved(name) {
+			known.Tickets[name] = allotter.Ticket{Ticket: "t", Life: 1, Until: load.now + 1000}
+		} else {
+			known.Refused[name] = 1
+		}
+	}
+}
+
+// TestUrgentJobsGoFirstOnAFullFleet has more waiting than fits: the jobs whose
+// latest start is nearest go first, and late ones behind those still on time.
+func TestUrgentJobsGoFirstOnAFullFleet(t *testing.T) {
+	load := newLoad(t, 1, false)
+	load.submit("late", "swap", step(1, 4, 100))
+	load.now = 2000
+	load.submit("draw", "draw", step(1, 4, 9000))
+	load.submit("swap", "swap", step(1, 4, 500))
+	summary := load.run()
+	load.c.Check(load.placed, qt.DeepEquals, []string{"swap", "draw"})
+	load.c.Check(summary, qt.Equals, allotter.Summary{Placed: 2, NoRoom: 1})
+}
+
+func TestGangsArePlacedWholeOrNotAtAll(t *testing.T) {
+	load := newLoad(t, 2, false)
+	gang := step(5, 4, 1000)
+	gang.Gang = true
+	load.submit("gang", "draw", gang)
+	load.c.Check(load.run(), qt.Equals, allotter.Summary{NoRoom: 1}, qt.Commentf("five tasks of 4 cores on 16"))
+	small := step(4, 4, 1000)
+	small.Gang = true
+	load.submit("small", "draw", small)
+	load.run()
+	load.c.Check(load.placed, qt.DeepEquals, []string{"small", "small", "small", "small"})
+}
+
+func TestASmallStepFillsTheFullestWorker(t *testing.T) {
+	load := newLoad(t, 2, false)
+	load.submit("first", "swap", step(1, 2, 500))
+	load.run()
+	load.submit("second", "swap", step(1, 2, 500))
+	load.run()
+	used := 0
+	for _, worker := range load.state.Workers {
+		if !worker.Used().IsZero() {
+			used++
+		}
+	}
+	load.c.Check(used, qt.Equals, 1, qt.Commentf("room for wide tasks is left on the other"))
+}
+
+// TestNoQuestionForWhatDoesNotFit plays the load that kept an adviser busy all
+// the time: gangs that wait for room asked anew with each ticket that lapsed.
+func TestNoQuestionForWhatDoesNotFit(t *testing.T) {
+	load := newLoad(t, 2, true)
+	gang := step(5, 4, 1000)
+	gang.Gang = true
+	load.submit("gang", "draw", gang)
+	load.c.Check(load.run(), qt.Equals, allotter.Summary{NoRoom: 1})
+	load.c.Check(load.asked, qt.HasLen, 0)
+}
+
+func TestALapsedTicketIsAskedForAlone(t *testing.T) {
+	load := newLoad(t, 10, true)
+	load.submit("j", "swap", step(1, 8, 500))
+	load.run()
+	load.c.Assert(load.asked, qt.HasLen, 1)
+	load.c.Check(load.asked[0].Workers, qt.HasLen, 10)
+	load.answer(load.asked[0], func(name modeller.WorkerName) bool { return name == "w07" })
+	load.now += 5000
+	load.run()
+	load.c.Assert(load.asked, qt.HasLen, 1)
+	load.c.Check(load.asked[0].Workers, qt.DeepEquals, []modeller.WorkerName{"w07"})
+	load.answer(load.asked[0], func(modeller.WorkerName) bool { return true })
+	load.run()
+	load.c.Check(load.placed, qt.DeepEquals, []string{"j"})
+}
+
+// TestRoomIsKeptWhileAnAdviserIsAsked expects a less urgent step not to take
+// what a more urgent one has asked leave for.
+func TestRoomIsKeptWhileAnAdviserIsAsked(t *testing.T) {
+	load := newLoad(t, 1, true)
+	load.submit("urgent", "swap", step(1, 8, 100))
+	known := load.approval(stager.StepID{Job: "urgent"})
+	known.Tickets["w00"] = allotter.Ticket{Ticket: "old", Life: 1, Until: load.now - 1}
+	load.submit("other", "draw", step(1, 8, 9000))
+	other := load.approval(stager.StepID{Job: "other"})
+	other.Tickets["w00"] = allotter.Ticket{Ticket: "good", Life: 1, Until: load.now + 1000}
+	load.run()
+	load.c.Check(load.placed, qt.HasLen, 0)
+	load.c.Assert(load.asked, qt.HasLen, 1)
+	load.answer(load.asked[0], func(modeller.WorkerName) bool { return true })
+	load.run()
+	load.c.Check(load.placed, qt.DeepEquals, []string{"urgent"})
+}
+
+func TestAnAccountAtItsLimitWaits(t *testing.T) {
+	load := newLoad(t, 1, false)
+	load.do(stager.Command{Submit: &stager.Submit{ID: "s", ClientAccount: "small", Queue: "swap", Steps: []stager.Step{step(2, 1, 100)}}})
+	load.run()
+	load.c.Check(load.placed, qt.DeepEquals, []string{"s"}, qt.Commentf("one of its two tasks"))
+	load.c.Check(load.run(), qt.Equals, allotter.Summary{AtLimit: 1})
+}
+
+func TestDataAndRacks(t *testing.T) {
+	load := newLoad(t, 6, false)
+	near := step(1, 1, 100)
+	near.DataRack = "r2"
+	load.submit("near", "swap", near)
+	load.run()
+	load.c.Check(load.state.Workers["w04"].LiveCount()+load.state.Workers["w05"].LiveCount(), qt.Equals, 1)
+	gang := step(3, 5, 100)
+	gang.Gang, gang.OneRack = true, true
+	load.submit("gang", "draw", gang)
+	load.run()
+	load.c.Check(load.placed, qt.HasLen, 3, qt.Commentf("no rack holds it, so it spreads"))
+}
