--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -191,7 +191,7 @@
 	held := step.step.Held()
 	for _, candidate := range allotter.config.Candidates {
 		worker := candidate.Worker
-		if worker.Pool == step.queue.Pool && worker.Bears(step.step.Label) && held.Fits(allotter.left(worker)) {
+		if worker.Pool == step.queue.Pool && worker.Bears(step.step.Label) && held.Fits(allotter.left(worker)) && allotter.bearable(step.step, worker) {
 			fitting = append(fitting, candidate)
 		}
 	}
@@ -203,6 +203,21 @@
 	return fitting
 }
 
+// bearable keeps tasks that fill apart from tasks that serve: each disturbs the
+// other by amounts that only a measurement tells.
+func (allotter *Allotter) bearable(step *stager.Step, worker *stager.Worker) bool {
+	if !step.Filler && step.LatencyObjective == 0 {
+		return true
+	}
+	for _, id := range allotter.config.State.LiveOn(worker.Name) {
+		other := &allotter.config.State.Jobs[id.Job].Steps[id.Step]
+		if step.Filler && other.LatencyObjective > 0 || step.LatencyObjective > 0 && other.Filler {
+			return false
+		}
+	}
+	return true
+}
+
 // farness is 1 on workers that are far from a step's data.
 func farness(step *stager.Step, worker *stager.Worker) int {
 	if step.DataRack != "" && worker.Rack != step.DataRack {
--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -74,6 +74,7 @@
 		delete(conductor.approvals, advice.Step)
 		return
 	}
+	conductor.measures.advice.Update((now - known.asked).Seconds())
 	until := millis(now + conductor.state.Queues[job.Queue].Advised.Validity - ticketMargin)
 	for _, ticket := range advice.Tickets {
 		if worker := conductor.state.Workers[ticket.Worker]; worker != nil {
--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -44,6 +44,8 @@
 	// acknowledged that, zero before.
 	stopping bool
 	stopped  time.Duration
+	// placedAt is when the attempt was placed, zero if an earlier leader did.
+	placedAt time.Duration
 	// acknowledged is when the worker acknowledged the start.
 	acknowledged time.Duration
 	saved        stager.Checkpoint
@@ -70,6 +72,14 @@
 	return step.RunTime * modeller.Millis(percentAll-attempt.percent) / percentAll
 }
 
+// ran is how long the attempt has run, or zero if that is not known.
+func (attempt *attempt) ran(now time.Duration) time.Duration {
+	if attempt.acknowledged == 0 {
+		return 0
+	}
+	return now - attempt.acknowledged
+}
+
 // launch makes the attempts of a placement that the state has taken, and sends
 // their starts once it is committed.
 func (conductor *Conductor) launch(ctx context.Context, place *stager.Place) {
@@ -77,7 +87,7 @@
 	for at := range place.Tasks {
 		task := &place.Tasks[at]
 		link := conductor.links[task.Worker]
-		made := &attempt{id: stager.TaskID{StepID: place.Step, Index: task.Index}, number: task.Attempt, ticket: task.Ticket}
+		made := &attempt{id: stager.TaskID{StepID: place.Step, Index: task.Index}, number: task.Attempt, ticket: task.Ticket, placedAt: conductor.config.Clock()}
 		link.attempts[made.id] = made
 		all[at] = live{link, made}
 		logger.Info(conductor.config.Logger, "task placed", "Task", made.id.String(), "Attempt", made.number, "Worker", task.Worker,
@@ -133,6 +143,7 @@
 
 func (conductor *Conductor) startAnswered(ctx context.Context, link *link, attempt *attempt, answer Answer) {
 	attempt.calling = false
+	conductor.measures.called("start", answer)
 	if conductor.links[link.name] != link || link.attempts[attempt.id] != attempt {
 		return
 	}
@@ -146,6 +157,9 @@
 			attempt.state = running
 		}
 		attempt.acknowledged, attempt.progressed = now, now
+		if attempt.placedAt != 0 {
+			conductor.measures.start.Update((now - attempt.placedAt).Seconds())
+		}
 		conductor.hold(ctx, link)
 		conductor.pursue(ctx, link, attempt)
 	case Rejected:
@@ -205,6 +219,7 @@
 
 func (conductor *Conductor) stopAnswered(ctx context.Context, link *link, attempt *attempt, answer Answer) {
 	attempt.calling = false
+	conductor.measures.called("stop", answer)
 	if conductor.links[link.name] != link || link.attempts[attempt.id] != attempt {
 		return
 	}
@@ -234,11 +249,13 @@
 		return
 	}
 	conductor.dirty = true
+	conductor.measures.ended(how, ended.ran(conductor.config.Clock()))
 	logger.Info(conductor.config.Logger, "task ended", "Task", ended.id.String(), "Attempt", ended.number, "Worker", link.name, "How", how.String(), "Saved", string(saved))
 	conductor.judge(link, job, ended, how)
 	switch {
 	case job.Over():
 		if !over {
+			conductor.measures.jobEnded(job)
 			logger.Info(conductor.config.Logger, "job ended", "Job", job.ID, "Status", job.Status().String(), "TookMillis", int64(job.Ended-job.Accepted))
 		}
 		conductor.abandon(ctx, job)
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -18,6 +18,7 @@
 	"context"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 	"github.com/rotisserie/eris"
 
@@ -58,6 +59,8 @@
 	Lost     func() []stager.StepID
 	Terms    Terms
 	Logger   log.Logger
+	// Metrics takes the measures; nil keeps them unseen.
+	Metrics *metrics.Set
 }
 
 // Terms are the settings of a Conductor.
@@ -89,7 +92,8 @@
 	links     map[modeller.WorkerName]*link
 	approvals map[stager.StepID]*approval
 	// begun is when the conductor began, on its clock.
-	begun time.Duration
+	begun    time.Duration
+	measures *measures
 	// summary is that of the last pass over the waiting steps, and reportAt is
 	// when the load is logged next.
 	summary  allotter.Summary
@@ -118,6 +122,7 @@
 		done:      make(chan struct{}),
 		links:     make(map[modeller.WorkerName]*link),
 		approvals: make(map[stager.StepID]*approval),
+		measures:  newMeasures(config.Metrics),
 	}
 }
 
@@ -214,10 +219,12 @@
 		return
 	}
 	conductor.inFlight++
+	proposed := conductor.config.Clock()
 	go func() {
 		waitCtx, cancel := context.WithTimeout(ctx, commitTimeout)
 		defer cancel()
 		err := wait(waitCtx)
+		conductor.measures.commit.Update((conductor.config.Clock() - proposed).Seconds())
 		if !conductor.post(func() { conductor.committed(effects, err) }) {
 			conductor.settle(effects, ErrReplaced)
 		}
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -58,6 +58,7 @@
 // what the worker acknowledged before that must be in its answer.
 func (conductor *Conductor) held(ctx context.Context, link *link, order *HoldOrder, sentAt time.Duration, holding Holding) {
 	link.holding = false
+	conductor.measures.called("hold", holding.Answer)
 	if conductor.links[link.name] != link {
 		return
 	}
--- a/conductor/intake.go
+++ b/conductor/intake.go
@@ -64,6 +64,7 @@
 			return refused(coder.Malformed, err)
 		}
 		conductor.dirty = true
+		conductor.measures.accepted.Inc()
 		logger.Info(conductor.config.Logger, "job accepted", "Job", submit.ID, "ClientAccount", submit.ClientAccount, "Queue", submit.Queue,
 			"Steps", len(submit.Steps), "Deployment", conductor.version(), "Open", len(conductor.state.Open()))
 		return nil
--- a/conductor/plan.go
+++ b/conductor/plan.go
@@ -26,9 +26,15 @@
 		Candidates: conductor.candidates(),
 		Approval:   func(step stager.StepID) *allotter.Approval { return &conductor.approval(step).Approval },
 		Place: func(place *stager.Place) error {
+			job := conductor.state.Jobs[place.Step.Job]
+			first := !job.Started
 			if err := conductor.do(&stager.Command{Place: place}); err != nil {
 				return err
 			}
+			conductor.measures.placed.Add(len(place.Tasks))
+			if first {
+				conductor.measures.wait.Update(float64(conductor.state.Now-job.Accepted) / 1000)
+			}
 			conductor.launch(ctx, place)
 			return nil
 		},
--- a/internal/cellrunner/staged.go
+++ b/internal/cellrunner/staged.go
@@ -95,6 +95,7 @@
 		Lost:     held.staged.inquirer.Lost,
 		Terms:    runner.settings.Staged,
 		Logger:   runner.logger,
+		Metrics:  runner.measures.set,
 	})
 	held.staged.conductor.Store(made)
 	return made.Run(held.ctx)
