--- a/inquirer/inquirer.go
+++ b/inquirer/inquirer.go
@@ -19,12 +19,13 @@
 	"github.com/dotterelrill/dotterelrill/stager"
 )
 
+// BeatInterval is how often an attached process hears of the leader, so that its
+// silence tells that the way is cut.
+const BeatInterval = 250 * time.Millisecond
+
 const (
 	// laneSlots bounds what is on its way to one process.
 	laneSlots = 8
-	// beatInterval is how often an attached process hears of the leader, so that
-	// its silence tells that the way is cut.
-	beatInterval = 250 * time.Millisecond
 	// overdueAfter is how much longer than it should an answer may take.
 	overdueAfter = 700 * time.Millisecond
 	// longFrom is the time from which on a question counts as long.
@@ -73,7 +74,7 @@
 	attached := &lane{ring: make(chan *stager.Inquiry, laneSlots)}
 	inquirer.add(attached)
 	defer inquirer.remove(attached)
-	ticker := time.NewTicker(beatInterval)
+	ticker := time.NewTicker(BeatInterval)
 	defer ticker.Stop()
 	for {
 		inquiry := &stager.Inquiry{}
--- a/internal/cellrunner/identity.go
+++ b/internal/cellrunner/identity.go
@@ -123,7 +123,8 @@
 }
 
 // attempt asks all addresses once. A cell is formed only if every address has
-// answered that it is new, so that no second cell can come about beside one.
+// answered that it is new, so that no second cell can come about beside one, and
+// only by the replicas at these addresses: another one joins what they form.
 func (formation *formation) attempt(ctx context.Context) *identity {
 	settings := formation.runner.settings
 	own := formation.known.Load()
@@ -139,11 +140,12 @@
 			complete = false
 		case reply.Formed:
 			return formation.joinFormed(own, reply.Members)
+		case reply.Relay:
 		default:
 			members = append(members, journaler.Member{ID: reply.ID, Address: address, Voter: true})
 		}
 	}
-	if !complete {
+	if !complete || !settings.Form || !slices.Contains(settings.Bootstrap, settings.Address) {
 		return nil
 	}
 	slices.SortFunc(members, compareMembers)
--- a/internal/cellrunner/settings.go
+++ b/internal/cellrunner/settings.go
@@ -14,10 +14,12 @@
 
 // Settings are what dotterel-cell reads from its file.
 type Settings struct {
-	CellName        string
-	Address         string
-	ListenAddress   string
-	Bootstrap       []string
+	CellName      string
+	Address       string
+	ListenAddress string
+	Bootstrap     []string
+	// Form allows replicas with empty folders to form a new cell.
+	Form            bool
 	MetricsAddress  string
 	DataFolder      string
 	ShutdownTimeout time.Duration
@@ -55,6 +57,7 @@
 	set.Address(&settings.Address, configurer.Key{Section: "Cell", Name: "Address", Required: true, Help: "Where other replicas and entries reach this one."})
 	set.Address(&settings.ListenAddress, configurer.Key{Section: "Cell", Name: "ListenAddress", Help: "Where to listen, if that differs from the Address that others are told of."})
 	set.Addresses(&settings.Bootstrap, configurer.Key{Section: "Cell", Name: "Bootstrap", Required: true, Help: "Addresses of the cell's replicas, this one included. Replicas with empty folders form a new cell from it once; later it only tells where to ask."})
+	set.Bool(&settings.Form, configurer.Key{Section: "Cell", Name: "Form", Default: "true", Help: "Whether replicas with empty folders may form a new cell from Bootstrap; if not, they only join one."})
 	set.Folder(&settings.DataFolder, configurer.Key{Section: "Cell", Name: "DataFolder", Required: true, Help: "The one folder for everything that must survive."})
 	set.Address(&settings.MetricsAddress, configurer.Key{Section: "Cell", Name: "MetricsAddress", Required: true, Help: "Where /metrics, /healthy and /ready are served."})
 	set.Duration(&settings.ShutdownTimeout, time.Second, time.Minute, configurer.Key{Section: "Cell", Name: "ShutdownTimeout", Default: "10s", Help: "The longest that a graceful stop takes."})
--- a/internal/cellrunner/stagedservice.go
+++ b/internal/cellrunner/stagedservice.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
+	"time"
 
 	"github.com/dotterelrill/dotterelrill/coder"
+	"github.com/dotterelrill/dotterelrill/inquirer"
 	"github.com/dotterelrill/dotterelrill/messenger"
 	"github.com/dotterelrill/dotterelrill/stager"
 )
@@ -136,7 +139,7 @@
 
 // inquiries attaches a process that can ask advisers, for as long as this
 // leadership lasts.
-func (runner *Runner) inquiries(ctx context.Context, request *messenger.InquiriesRequest, send func(*stager.Inquiry) error) error {
+func (runner *Runner) inquiries(ctx context.Context, request *messenger.InquiriesRequest, send func(*messenger.Inquiring) error) error {
 	held, refusal := runner.leading(request.Cell)
 	if refusal != nil {
 		return refusal
@@ -145,5 +148,41 @@
 	defer cancel()
 	stop := context.AfterFunc(held.ctx, cancel)
 	defer stop()
-	return held.staged.inquirer.Attach(ctx, send)
+	var told []string
+	tell := func(inquiry *stager.Inquiry) error {
+		message := &messenger.Inquiring{Inquiry: *inquiry}
+		if current := runner.replicaAddresses(); !slices.Equal(current, told) {
+			message.Replicas, told = current, current
+		}
+		return send(message)
+	}
+	if request.Listens {
+		return listen(ctx, tell)
+	}
+	return held.staged.inquirer.Attach(ctx, tell)
+}
+
+// listen sends empty questions at the interval of the inquirer's.
+func listen(ctx context.Context, tell func(*stager.Inquiry) error) error {
+	ticker := time.NewTicker(inquirer.BeatInterval)
+	defer ticker.Stop()
+	for {
+		if err := tell(&stager.Inquiry{}); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (runner *Runner) replicaAddresses() []string {
+	members := runner.node.Load().Status().Members
+	addresses := make([]string, 0, len(members))
+	for _, member := range members {
+		addresses = append(addresses, member.Address)
+	}
+	return addresses
 }
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -20,7 +20,9 @@
 
 	"github.com/cenkalti/backoff/v4"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/status"
 
 	"github.com/dotterelrill/dotterelrill/coder"
 	"github.com/dotterelrill/dotterelrill/messenger"
@@ -72,7 +74,7 @@
 }
 
 // SetAddresses takes up the replicas that the configuration names. Those of
-// the settings stay known, in case all the named ones are gone.
+// the Config stay known, in case all the named ones are gone.
 func (locator *Locator) SetAddresses(addresses []string) {
 	locator.mutex.Lock()
 	defer locator.mutex.Unlock()
@@ -250,6 +252,9 @@
 	refusal, err := try(ctx, client)
 	locator.note(address, err == nil)
 	switch {
+	case status.Code(err) == codes.Unimplemented:
+		// The process is no replica, and did nothing.
+		return tried{}
 	case err != nil:
 		return tried{reached: sent.Happened()}
 	case refusal == nil:
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -276,7 +276,9 @@
 	Refusal *coder.Refusal `cbor:",omitempty"`
 	ID      journaler.ReplicaID
 	// Formed is true if the replica belongs to a cell already.
-	Formed  bool
+	Formed bool
+	// Relay is true if the process keeps no log and never will.
+	Relay   bool
 	Members []journaler.Member
 }
 
--- a/messenger/service.go
+++ b/messenger/service.go
@@ -4,9 +4,10 @@
 	"context"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/dotterelrill/dotterelrill/replicator"
-	"github.com/dotterelrill/dotterelrill/stager"
 )
 
 // The names of the services and of their methods.
@@ -80,7 +81,7 @@
 		unary("Wave", func(server *CellServer) handler[WaveRequest, WaveReply] { return server.Staged.Wave }),
 	},
 	Streams: []grpc.StreamDesc{
-		serverStream("Inquiries", func(server *CellServer) streamer[InquiriesRequest, stager.Inquiry] { return server.Staged.Inquiries }),
+		serverStream("Inquiries", func(server *CellServer) streamer[InquiriesRequest, Inquiring] { return server.Staged.Inquiries }),
 		serverStream("Orders", func(server *CellServer) streamer[OrdersRequest, Order] { return server.Orders }),
 		serverStream("Follow", func(server *CellServer) streamer[FollowRequest, Configuration] { return server.Follow }),
 		serverStream("History", func(server *CellServer) streamer[HistoryRequest, HistoryRecord] { return server.History }),
@@ -100,6 +101,9 @@
 			return nil, err
 		}
 		method := pick(server.(*Server))
+		if method == nil {
+			return nil, status.Errorf(codes.Unimplemented, "this process does not serve %s", name)
+		}
 		if intercept == nil {
 			return method(ctx, request)
 		}
@@ -119,7 +123,11 @@
 			return err
 		}
 		send := func(reply *Reply) error { return stream.SendMsg(reply) }
-		return pick(server.(*Server))(stream.Context(), request, send)
+		method := pick(server.(*Server))
+		if method == nil {
+			return status.Errorf(codes.Unimplemented, "this process does not serve %s", name)
+		}
+		return method(stream.Context(), request, send)
 	}
 	return grpc.StreamDesc{StreamName: name, ServerStreams: true, Handler: handle}
 }
--- a/messenger/staged.go
+++ b/messenger/staged.go
@@ -19,7 +19,7 @@
 	Wave     func(ctx context.Context, request *WaveRequest) (*WaveReply, error)
 	// Inquiries sends questions for advisers until the context ends or
 	// leadership does.
-	Inquiries func(ctx context.Context, request *InquiriesRequest, send func(*stager.Inquiry) error) error
+	Inquiries func(ctx context.Context, request *InquiriesRequest, send func(*Inquiring) error) error
 }
 
 // Place is where a caller addressed its request, and the key that it showed.
@@ -101,6 +101,17 @@
 type InquiriesRequest struct {
 	Cell  modeller.CellName
 	Entry string
+	// Listens is true if the process only wants to hear of the leader and the
+	// replicas.
+	Listens bool `cbor:",omitzero"`
+}
+
+// Inquiring is what a leader sends to an attached process: a question, or none
+// with an empty one.
+type Inquiring struct {
+	Inquiry stager.Inquiry
+	// Replicas are the addresses of the cell's replicas, if they have changed.
+	Replicas []string `cbor:",omitempty"`
 }
 
 // WaveRequest starts an upkeep wave, or asks for one if Start is nil.
@@ -152,6 +163,6 @@
 }
 
 // Inquiries receives questions until the stream ends.
-func (client CellClient) Inquiries(ctx context.Context, request *InquiriesRequest, visit func(*stager.Inquiry) error) error {
+func (client CellClient) Inquiries(ctx context.Context, request *InquiriesRequest, visit func(*Inquiring) error) error {
 	return receive(ctx, client.Connection, "/"+cellService+"/Inquiries", request, visit)
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -26,7 +26,8 @@
 	Cell    modeller.CellName
 	Name    string
 	Locator *locator.Locator
-	// Ask puts a question to an adviser. It is nil in a process that asks none.
+	// Ask puts a question to an adviser. It is nil in a process that only
+	// listens.
 	Ask    func(context.Context, *stager.Inquiry) stager.Advice
 	Logger log.Logger
 }
@@ -34,19 +35,16 @@
 // Relayer passes requests on. It is safe for concurrent use.
 type Relayer struct {
 	config Config
-	// session ends when the leader is lost; it is nil in a process that attends
-	// none.
+	// session ends when the leader is lost.
 	session atomic.Pointer[context.Context]
 }
 
 // New returns a relayer.
 func New(config Config) *Relayer {
 	relayer := &Relayer{config: config}
-	if config.Ask != nil {
-		lost, cancel := context.WithCancel(context.Background())
-		cancel()
-		relayer.session.Store(&lost)
-	}
+	lost, cancel := context.WithCancel(context.Background())
+	cancel()
+	relayer.session.Store(&lost)
 	return relayer
 }
 
@@ -58,11 +56,7 @@
 // request that cannot be served is refused at once.
 func (relayer *Relayer) bounded(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
-	session := relayer.session.Load()
-	if session == nil {
-		return ctx, cancel
-	}
-	stop := context.AfterFunc(*session, func() { time.AfterFunc(leaderlessMost, cancel) })
+	stop := context.AfterFunc(*relayer.session.Load(), func() { time.AfterFunc(leaderlessMost, cancel) })
 	return ctx, func() {
 		stop()
 		cancel()
@@ -153,7 +147,8 @@
 	adviseTimeout = 2 * time.Second
 )
 
-// Run asks advisers for the leader, whoever that is, until the context ends.
+// Run stays with the leader, whoever that is, and asks advisers for it, until
+// the context ends.
 func (relayer *Relayer) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		client, err := relayer.config.Locator.Leader(ctx, relayer.config.Cell)
@@ -182,11 +177,14 @@
 		cancel()
 	})
 	defer silence.Stop()
-	request := &messenger.InquiriesRequest{Cell: relayer.config.Cell, Entry: relayer.config.Name}
-	return client.Inquiries(streamCtx, request, func(inquiry *stager.Inquiry) error {
+	request := &messenger.InquiriesRequest{Cell: relayer.config.Cell, Entry: relayer.config.Name, Listens: relayer.config.Ask == nil}
+	return client.Inquiries(streamCtx, request, func(message *messenger.Inquiring) error {
 		silence.Reset(silenceMost)
-		if len(inquiry.Workers) > 0 {
-			go relayer.inquire(ctx, inquiry)
+		if len(message.Replicas) > 0 {
+			relayer.config.Locator.SetAddresses(message.Replicas)
+		}
+		if len(message.Inquiry.Workers) > 0 && relayer.config.Ask != nil {
+			go relayer.inquire(ctx, &message.Inquiry)
 		}
 		return nil
 	})
