--- a/internal/cellrunner/planning.go
+++ b/internal/cellrunner/planning.go
@@ -85,10 +85,23 @@
 }
 
 // logDecision writes a line for each placement, stop and refusal.
+// jobOf returns the job that one of the leader's own proposals is about.
+func jobOf(command *applier.Command) modeller.JobID {
+	switch {
+	case command.Place != nil:
+		return command.Place.Job
+	case command.Stop != nil:
+		return command.Stop.Task.Job
+	case command.Refuse != nil:
+		return command.Refuse.Job
+	}
+	return 0
+}
+
 func (held *leadership) logDecision(command *applier.Command, result applier.Result, err error) {
 	log := held.runner.logger
 	if err != nil {
-		logger.Warn(log, "decision came to nothing", "Job", result.Job, "Error", err.Error())
+		logger.Warn(log, "decision came to nothing", "Job", jobOf(command), "Error", err.Error())
 		return
 	}
 	if place := command.Place; place != nil {
--- a/internal/programmer/programmer.go
+++ b/internal/programmer/programmer.go
@@ -59,7 +59,9 @@
 	if *check {
 		return StatusOK
 	}
-	return serve(daemon, *path, logger.New(stderr, program))
+	ring := logger.NewRing(stderr)
+	defer ring.Close()
+	return serve(daemon, *path, logger.New(ring, program))
 }
 
 // reloadOnHangup takes up the settings with each SIGHUP, which does not end the
