--- a/internal/cellrunner/planning.go
+++ b/internal/cellrunner/planning.go
@@ -84,7 +84,6 @@
 	}()
 }
 
-// logDecision writes a line for each placement, stop and refusal.
 // jobOf returns the job that one of the leader's own proposals is about.
 func jobOf(command *applier.Command) modeller.JobID {
 	switch {
@@ -98,6 +97,7 @@
 	return 0
 }
 
+// logDecision writes a line for each placement, stop and refusal.
 func (held *leadership) logDecision(command *applier.Command, result applier.Result, err error) {
 	log := held.runner.logger
 	if err != nil {
--- a/internal/documenter/example_test.go
+++ b/internal/documenter/example_test.go
@@ -18,7 +18,7 @@
 
 const examplesFolder = "../../examples"
 
-// The settings that OPERATING.md begins with have no faults once the operator's
+// The settings that OPERATIONS.md begins with have no faults once the operator's
 // hash is put in.
 func TestExampleSettingsHaveNoFaults(t *testing.T) {
 	for kind, set := range map[string]func() *configurer.Set{
