allotter: a gang asks for all its tickets at once, and its room is kept until the answer

Cause: a wide gang's tickets lapse at different times. Ruled out: room (the load line shows it), refusals (18 workers were approved of).

TestAGangAsksForAllItsTicketsAtOnce fails before.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -35,6 +35,9 @@
 	Refused map[modeller.WorkerName]stager.Life
 	// Asking is true while a question is under way.
 	Asking bool
+	// Kept is where a gang is to be placed if the answer allows it. The room is
+	// kept from all other steps until the gang was looked at again.
+	Kept []modeller.WorkerName
 }
 
 // Ticket is leave to run a step on a worker.
@@ -71,8 +74,8 @@
 // Allotter goes through the waiting steps once.
 type Allotter struct {
 	config Config
-	// kept is the room that more urgent steps wait for an adviser's leave to
-	// use.
+	// kept is the room that steps wait for an adviser's leave to use: that of
+	// gangs, and that of more urgent steps.
 	kept map[modeller.WorkerName]modeller.Resources
 }
 
@@ -95,6 +98,9 @@
 	// urgency is 0 while the job can be on time, 1 if it is late and 2 if
 	// nobody waits for it any more.
 	urgency int
+	// answered is true for a gang whose question has been answered, so that it
+	// gets the room that was kept for it.
+	answered bool
 	// latest is when the step has to start for its job to be on time.
 	latest modeller.Millis
 }
@@ -122,11 +128,22 @@
 		steps = allotter.readySteps(steps, job)
 	}
 	slices.SortStableFunc(steps, func(left, right *waiting) int {
+		if left.answered != right.answered {
+			return first(left.answered)
+		}
 		return cmp.Or(cmp.Compare(left.urgency, right.urgency), cmp.Compare(left.latest, right.latest))
 	})
 	return steps
 }
 
+// first is the comparison of two of which only one goes first.
+func first(left bool) int {
+	if left {
+		return -1
+	}
+	return 1
+}
+
 func (allotter *Allotter) readySteps(steps []*waiting, job *stager.Job) []*waiting {
 	queue := allotter.config.State.Queues[job.Queue]
 	for occurrence := range job.Occurrences() {
@@ -141,6 +158,7 @@
 			if tasks := job.Waiting(occurrence, at); len(tasks) > 0 {
 				made := &waiting{job: job, queue: queue, id: stager.StepID{Job: job.ID, Occurrence: occurrence, Step: at}, step: &job.Steps[at], tasks: tasks}
 				allotter.rate(made, max(due, job.Accepted))
+				allotter.keepForGang(made)
 				steps = append(steps, made)
 			}
 		}
@@ -160,21 +178,36 @@
 	}
 }
 
+// keepForGang keeps the room that a gang has asked leave for.
+func (allotter *Allotter) keepForGang(step *waiting) {
+	if step.queue.Advised == nil || !step.step.Gang {
+		return
+	}
+	approval := allotter.config.Approval(step.id)
+	step.answered = len(approval.Kept) > 0 && !approval.Asking
+	allotter.keep(step, approval.Kept)
+}
+
 // serve places what it can of a step, and asks about workers if that is what
 // it lacks. It returns which count of the summary the step belongs to.
 func (allotter *Allotter) serve(step *waiting, summary *Summary) *int {
 	if !step.step.Size.Fits(allotter.config.State.Room(step.job.ClientAccount)) {
 		return &summary.AtLimit
 	}
-	options := allotter.options(step)
 	if step.queue.Advised == nil {
+		options := allotter.options(step)
 		if allotter.place(step, options) == len(step.tasks) {
 			return &summary.Placed
 		}
 		return &summary.NoRoom
 	}
 	approval := allotter.config.Approval(step.id)
-	ticketed, known, unknown := allotter.split(approval, options)
+	if len(approval.Kept) > 0 && approval.Asking {
+		return &summary.Asking
+	}
+	allotter.unkeep(step, approval.Kept)
+	approval.Kept = nil
+	ticketed, known, unknown := allotter.split(approval, allotter.options(step))
 	if allotter.place(step, ticketed) == len(step.tasks) {
 		return &summary.Placed
 	}
@@ -325,6 +358,9 @@
 // in the first; jobs are given the time for this many.
 const askMost = 30
 
+// namedMost is how many workers an adviser takes in one question.
+const namedMost = 100
+
 // ask asks about the workers that the step would be placed on if its tickets
 // held, and about new ones if those do not suffice. The room is kept from less
 // urgent steps meanwhile. A gang that would not fit even so asks nothing. It
@@ -339,24 +375,39 @@
 		}
 		missing = len(whole.Tasks) - len(wanted.Tasks)
 	}
-	allotter.keep(step, wanted)
+	keeping := workersOf(wanted)
+	allotter.keep(step, keeping)
 	if approval.Asking {
 		return true
 	}
 	question := Question{Step: step.id, Urgency: step.urgency, Latest: step.latest}
-	for at := range wanted.Tasks {
-		name := wanted.Tasks[at].Worker
-		if !slices.Contains(question.Workers, name) && allotter.config.Elapsed >= approval.Tickets[name].Until {
+	for _, name := range keeping {
+		// A gang needs all its tickets at once, so none may lapse while others are
+		// asked for.
+		if !slices.Contains(question.Workers, name) && (step.step.Gang || allotter.config.Elapsed >= approval.Tickets[name].Until) {
 			question.Workers = append(question.Workers, name)
 		}
 	}
 	if missing > 0 {
-		question.Workers = append(question.Workers, names(unknown, askMost-len(question.Workers))...)
+		question.Workers = append(question.Workers, names(unknown, max(0, askMost-len(question.Workers)))...)
+	}
+	if len(question.Workers) == 0 {
+		return false
 	}
-	if len(question.Workers) > 0 {
-		allotter.config.Ask(question)
+	question.Workers = question.Workers[:min(len(question.Workers), namedMost)]
+	allotter.config.Ask(question)
+	if step.step.Gang && missing == 0 && approval.Asking {
+		approval.Kept = keeping
 	}
-	return len(question.Workers) > 0
+	return true
+}
+
+func workersOf(place *stager.Place) []modeller.WorkerName {
+	found := make([]modeller.WorkerName, 0, len(place.Tasks))
+	for at := range place.Tasks {
+		found = append(found, place.Tasks[at].Worker)
+	}
+	return found
 }
 
 func names(candidates []Candidate, most int) []modeller.WorkerName {
@@ -367,15 +418,22 @@
 	return found
 }
 
-// keep keeps the room of a placement that waits for leave.
-func (allotter *Allotter) keep(step *waiting, place *stager.Place) {
+// keep keeps room for a task of the step on each of the workers named.
+func (allotter *Allotter) keep(step *waiting, workers []modeller.WorkerName) {
 	held := step.step.Held()
-	for at := range place.Tasks {
-		name := place.Tasks[at].Worker
+	for _, name := range workers {
 		allotter.kept[name] = allotter.kept[name].Add(held)
 	}
 }
 
+// unkeep ends what keep began.
+func (allotter *Allotter) unkeep(step *waiting, workers []modeller.WorkerName) {
+	held := step.step.Held()
+	for _, name := range workers {
+		allotter.kept[name] = allotter.kept[name].Sub(held)
+	}
+}
+
 // left is what a worker has left for a step.
 func (allotter *Allotter) left(worker *stager.Worker) modeller.Resources {
 	return worker.Capacity.Sub(worker.Used()).Sub(allotter.kept[worker.Name])
--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -196,6 +196,36 @@
 	load.c.Check(load.placed, qt.DeepEquals, []string{"urgent"})
 }
 
+// TestAGangAsksForAllItsTicketsAtOnce plays a wide gang whose tickets lapse at
+// different times: asking for the lapsed ones alone never ends.
+func TestAGangAsksForAllItsTicketsAtOnce(t *testing.T) {
+	load := newLoad(t, 4, true)
+	gang := step(4, 8, 1000)
+	gang.Gang = true
+	load.submit("gang", "draw", gang)
+	load.run()
+	load.c.Assert(load.asked, qt.HasLen, 1)
+	load.answer(load.asked[0], func(name modeller.WorkerName) bool { return true })
+	known := load.approval(stager.StepID{Job: "gang"})
+	lapsed := known.Tickets["w01"]
+	lapsed.Until = load.now - 1
+	known.Tickets["w01"] = lapsed
+	load.submit("swap", "swap", step(1, 2, 100))
+	load.run()
+	load.c.Assert(len(load.asked) > 0, qt.IsTrue)
+	for _, question := range load.asked {
+		if question.Step.Job == "gang" {
+			load.c.Check(question.Workers, qt.HasLen, 4)
+			load.answer(question, func(modeller.WorkerName) bool { return true })
+		}
+	}
+	swap := load.approval(stager.StepID{Job: "swap"})
+	swap.Asking = false
+	swap.Tickets["w00"] = allotter.Ticket{Ticket: "t", Life: 1, Until: load.now + 1000}
+	load.run()
+	load.c.Check(load.placed, qt.DeepEquals, []string{"gang", "gang", "gang", "gang"}, qt.Commentf("its room was kept from the urgent job"))
+}
+
 func TestAnAccountAtItsLimitWaits(t *testing.T) {
 	load := newLoad(t, 1, false)
 	load.do(stager.Command{Submit: &stager.Submit{ID: "s", ClientAccount: "small", Queue: "swap", Steps: []stager.Step{step(2, 1, 100)}}})
