--- a/internal/cellrunner/identity.go
+++ b/internal/cellrunner/identity.go
@@ -225,6 +225,29 @@
 	return nil
 }
 
+// introducePause is how often a replica makes itself known.
+const introducePause = time.Second
+
+// introduce makes this replica known at the addresses of the settings that are
+// no replicas', since others may be told of these alone.
+func (formation *formation) introduce(ctx context.Context) error {
+	runner := formation.runner
+	for {
+		members := runner.node.Load().Status().Members
+		for _, address := range runner.settings.Bootstrap {
+			member := slices.ContainsFunc(members, func(member journaler.Member) bool { return member.Address == address })
+			if !member && len(members) > 0 {
+				formation.ask(ctx, address, formation.known.Load().ID)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(introducePause):
+		}
+	}
+}
+
 func isVoter(members []journaler.Member, id journaler.ReplicaID) bool {
 	return slices.ContainsFunc(members, func(member journaler.Member) bool { return member.ID == id && member.Voter })
 }
--- a/internal/cellrunner/runner.go
+++ b/internal/cellrunner/runner.go
@@ -218,6 +218,7 @@
 	runner.addDuty(ctx, &group, node.Run)
 	runner.addDuty(ctx, &group, runner.watchLeadership)
 	runner.addDuty(ctx, &group, runner.formation.keepJoining)
+	runner.addDuty(ctx, &group, runner.formation.introduce)
 	runner.addDuty(ctx, &group, runner.keepMembers)
 	return group.Run()
 }
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -166,6 +166,13 @@
 	return messenger.CellClient{Connection: connection}, nil
 }
 
+// LeaderAddress returns the address that answered last as a leader, or nothing.
+func (locator *Locator) LeaderAddress() string {
+	locator.mutex.Lock()
+	defer locator.mutex.Unlock()
+	return locator.leader
+}
+
 func (locator *Locator) setLeader(address string) {
 	locator.mutex.Lock()
 	defer locator.mutex.Unlock()
