--- a/internal/cellrunner/service.go
+++ b/internal/cellrunner/service.go
@@ -141,16 +141,24 @@
 	return key != nil && key.Withdrawn == 0 && key.ClientAccount == job.Spec.ClientAccount
 }
 
+// within returns a context that ends with the leadership too.
+func (held *leadership) within(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(held.ctx, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // orders attaches an entry for as long as this leadership lasts.
 func (runner *Runner) orders(ctx context.Context, request *messenger.OrdersRequest, send func(*messenger.Order) error) error {
 	held, refusal := runner.leading(request.Cell)
 	if refusal != nil {
 		return refusal
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := held.within(ctx)
 	defer cancel()
-	stop := context.AfterFunc(held.ctx, cancel)
-	defer stop()
 	return held.dispatcher.Attach(ctx, request.DataCentre, send)
 }
 
--- a/internal/cellrunner/stagedservice.go
+++ b/internal/cellrunner/stagedservice.go
@@ -144,10 +144,8 @@
 	if refusal != nil {
 		return refusal
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := held.within(ctx)
 	defer cancel()
-	stop := context.AfterFunc(held.ctx, cancel)
-	defer stop()
 	var told []string
 	tell := func(inquiry *stager.Inquiry) error {
 		message := &messenger.Inquiring{Inquiry: *inquiry}
--- a/internal/entryrunner/call.go
+++ b/internal/entryrunner/call.go
@@ -11,29 +11,9 @@
 	"github.com/dotterelrill/dotterelrill/modeller"
 )
 
-// ask makes one call to the leader. The reply is nil if it was refused.
-func ask[Request, Reply any](ctx context.Context, locator *locator.Locator,
-	method func(messenger.CellClient, context.Context, *Request) (*Reply, error),
-	refusal func(*Reply) *coder.Refusal, request *Request,
-) (*Reply, *coder.Refusal) {
-	var answer *Reply
-	refused := locator.Call(ctx, func(ctx context.Context, client messenger.CellClient) (*coder.Refusal, error) {
-		reply, err := method(client, ctx, request)
-		if err != nil {
-			return nil, err
-		}
-		answer = reply
-		return refusal(reply), nil
-	})
-	if refused != nil {
-		return nil, refused
-	}
-	return answer, nil
-}
-
 func (runner *Runner) propose(ctx context.Context, command *applier.Command) (applier.Result, *coder.Refusal) {
 	command.Cell = runner.cellName()
-	reply, refusal := ask(ctx, runner.locator, messenger.CellClient.Propose,
+	reply, refusal := locator.Ask(ctx, runner.locator, messenger.CellClient.Propose,
 		refusalOf, &messenger.ProposeRequest{Command: *command})
 	if refusal != nil {
 		return applier.Result{}, refusal
@@ -58,7 +38,7 @@
 	if runner.leaving.Err() != nil {
 		request.Wait = 0
 	}
-	reply, refusal := ask(ctx, runner.locator, messenger.CellClient.Job,
+	reply, refusal := locator.Ask(ctx, runner.locator, messenger.CellClient.Job,
 		func(reply *messenger.JobReply) *coder.Refusal { return reply.Refusal }, request)
 	if refusal != nil {
 		return nil, refusal
@@ -71,13 +51,13 @@
 
 func (runner *Runner) query(ctx context.Context, request *messenger.QueryRequest) (*messenger.QueryReply, *coder.Refusal) {
 	request.Cell = runner.cellName()
-	return ask(ctx, runner.locator, messenger.CellClient.Query,
+	return locator.Ask(ctx, runner.locator, messenger.CellClient.Query,
 		func(reply *messenger.QueryReply) *coder.Refusal { return reply.Refusal }, request)
 }
 
 func (runner *Runner) member(ctx context.Context, request *messenger.MemberRequest) *coder.Refusal {
 	request.Cell = runner.cellName()
-	_, refusal := ask(ctx, runner.locator, messenger.CellClient.Member,
+	_, refusal := locator.Ask(ctx, runner.locator, messenger.CellClient.Member,
 		func(reply *messenger.JoinReply) *coder.Refusal { return reply.Refusal }, request)
 	return refusal
 }
@@ -105,7 +85,7 @@
 
 func (runner *Runner) beats(ctx context.Context, beats []messenger.Beat) ([]messenger.BeatAnswer, *coder.Refusal) {
 	request := &messenger.BeatRequest{Cell: runner.cellName(), Entry: runner.settings.Name, Beats: beats}
-	reply, refusal := ask(ctx, runner.locator, messenger.CellClient.Beat,
+	reply, refusal := locator.Ask(ctx, runner.locator, messenger.CellClient.Beat,
 		func(reply *messenger.BeatReply) *coder.Refusal { return reply.Refusal }, request)
 	if refusal != nil {
 		return nil, refusal
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -63,26 +63,6 @@
 	}
 }
 
-// ask makes one call to the leader. The reply is nil if it was refused.
-func ask[Request, Reply any](ctx context.Context, relayer *Relayer,
-	method func(messenger.CellClient, context.Context, *Request) (*Reply, error),
-	refusal func(*Reply) *coder.Refusal, request *Request,
-) (*Reply, *coder.Refusal) {
-	var answer *Reply
-	refused := relayer.config.Locator.Call(ctx, func(ctx context.Context, client messenger.CellClient) (*coder.Refusal, error) {
-		reply, err := method(client, ctx, request)
-		if err != nil {
-			return nil, err
-		}
-		answer = reply
-		return refusal(reply), nil
-	})
-	if refused != nil {
-		return nil, refused
-	}
-	return answer, nil
-}
-
 func refusalOf(reply *messenger.StagedReply) *coder.Refusal { return reply.Refusal }
 
 // Submit passes a job on.
@@ -90,7 +70,7 @@
 	request.Cell = relayer.config.Cell
 	ctx, cancel := relayer.bounded(ctx)
 	defer cancel()
-	_, refusal := ask(ctx, relayer, messenger.CellClient.StagedSubmit, refusalOf, request)
+	_, refusal := locator.Ask(ctx, relayer.config.Locator, messenger.CellClient.StagedSubmit, refusalOf, request)
 	return refusal
 }
 
@@ -99,33 +79,33 @@
 	ctx, cancel := relayer.bounded(ctx)
 	defer cancel()
 	request := &messenger.StagedJobRequest{Cell: relayer.config.Cell, Place: place, Question: question}
-	return ask(ctx, relayer, messenger.CellClient.StagedJob, refusalOf, request)
+	return locator.Ask(ctx, relayer.config.Locator, messenger.CellClient.StagedJob, refusalOf, request)
 }
 
 // Deploy passes a deployment on.
 func (relayer *Relayer) Deploy(ctx context.Context, deployment *stager.Deployment) *coder.Refusal {
 	request := &messenger.DeployRequest{Cell: relayer.config.Cell, Deployment: *deployment}
-	_, refusal := ask(ctx, relayer, messenger.CellClient.Deploy, refusalOf, request)
+	_, refusal := locator.Ask(ctx, relayer.config.Locator, messenger.CellClient.Deploy, refusalOf, request)
 	return refusal
 }
 
 // Deployed returns the newest deployment.
 func (relayer *Relayer) Deployed(ctx context.Context) (*messenger.DeployedReply, *coder.Refusal) {
-	return ask(ctx, relayer, messenger.CellClient.Deployed,
+	return locator.Ask(ctx, relayer.config.Locator, messenger.CellClient.Deployed,
 		func(reply *messenger.DeployedReply) *coder.Refusal { return reply.Refusal }, &messenger.DeployedRequest{Cell: relayer.config.Cell})
 }
 
 // Announce passes on what a worker says of itself, or that it has ended.
 func (relayer *Relayer) Announce(ctx context.Context, announcement *stager.Announcement, gone bool) *coder.Refusal {
 	request := &messenger.AnnounceRequest{Cell: relayer.config.Cell, Announcement: *announcement, Gone: gone}
-	_, refusal := ask(ctx, relayer, messenger.CellClient.Announce, refusalOf, request)
+	_, refusal := locator.Ask(ctx, relayer.config.Locator, messenger.CellClient.Announce, refusalOf, request)
 	return refusal
 }
 
 // Wave starts an upkeep wave, or asks for one if it is nil.
 func (relayer *Relayer) Wave(ctx context.Context, number uint64, wave *stager.Wave) (bool, *coder.Refusal) {
 	request := &messenger.WaveRequest{Cell: relayer.config.Cell, Number: number, Start: wave}
-	reply, refusal := ask(ctx, relayer, messenger.CellClient.Wave,
+	reply, refusal := locator.Ask(ctx, relayer.config.Locator, messenger.CellClient.Wave,
 		func(reply *messenger.WaveReply) *coder.Refusal { return reply.Refusal }, request)
 	if refusal != nil {
 		return false, refusal
@@ -195,7 +175,7 @@
 	ctx, cancel := context.WithTimeout(ctx, adviseTimeout)
 	defer cancel()
 	request := &messenger.AdviseRequest{Cell: relayer.config.Cell, Advice: advice}
-	if _, refusal := ask(ctx, relayer, messenger.CellClient.Advise, refusalOf, request); refusal != nil {
+	if _, refusal := locator.Ask(ctx, relayer.config.Locator, messenger.CellClient.Advise, refusalOf, request); refusal != nil {
 		logger.Warn(relayer.config.Logger, "advice not passed on", "Step", inquiry.Step.String(), "Error", refusal.Error())
 	}
 }
