--- a/configurer/set.go
+++ b/configurer/set.go
@@ -9,6 +9,7 @@
 package configurer
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -16,6 +17,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"gopkg.in/ini.v1"
@@ -64,6 +66,9 @@
 type Set struct {
 	Program string
 	Keys    []Key
+	// WriteFile writes a file, to see whether a folder takes one; nil stands for
+	// os.WriteFile. Tests set it to bring about failures.
+	WriteFile func(path string, data []byte, mode os.FileMode) error
 	// checks look at all values together, once each is well by itself.
 	checks []func() []Fault
 }
@@ -199,12 +204,14 @@
 	key.Allowed = "a folder that this user can read and write"
 	key.parse = func(text string) string {
 		*place = text
-		return folderProblem(text)
+		return set.folderProblem(text)
 	}
 	set.add(key)
 }
 
-func folderProblem(path string) string {
+// folderProblem returns what is wrong with a folder. A full disk is nothing that
+// a change of the settings would mend, so it is left to whoever writes there.
+func (set *Set) folderProblem(path string) string {
 	if err := os.MkdirAll(path, 0o700); err != nil {
 		return fmt.Sprintf("cannot be made: %v", err)
 	}
@@ -212,10 +219,14 @@
 		return fmt.Sprintf("cannot be read: %v", err)
 	}
 	probe := filepath.Join(path, ".probe")
-	if err := os.WriteFile(probe, nil, 0o600); err != nil {
+	write := set.WriteFile
+	if write == nil {
+		write = os.WriteFile
+	}
+	if err := write(probe, nil, 0o600); err != nil && !errors.Is(err, syscall.ENOSPC) {
 		return fmt.Sprintf("cannot be written: %v", err)
 	}
-	if err := os.Remove(probe); err != nil {
+	if err := os.Remove(probe); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return fmt.Sprintf("cannot be written: %v", err)
 	}
 	return ""
