--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -61,9 +61,10 @@
 	// attempt is stopped and placed elsewhere.
 	mostStarts = 3
 	// stuckAfter is how long a task may show no progress before it is started
-	// elsewhere: more than a gang waits for its members, and several times what
-	// a very slow worker takes for one percent of a long task.
-	stuckAfter = 4 * time.Second
+	// elsewhere: several times what a very slow worker takes for one percent of a
+	// long task. A gang's tasks may wait stuckMargin longer than for each other.
+	stuckAfter  = 4 * time.Second
+	stuckMargin = time.Second
 	percentAll = 100
 )
 
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -45,8 +45,8 @@
 	Leads func() bool
 	// Propose enqueues a batch and returns a function that waits for it.
 	Propose func(context.Context, *stager.Batch) (func(context.Context) error, error)
-	// Start, Stop and Hold call a worker and return within CallTimeout, for
-	// Hold within its Wait and CallTimeout.
+	// Start, Stop and Hold call a worker. They return within about a second, Hold
+	// within its order's Wait besides.
 	Start func(context.Context, Target, *StartOrder) Answer
 	Stop  func(context.Context, Target, *StopOrder) Answer
 	Hold  func(context.Context, Target, *HoldOrder) Holding
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -134,7 +134,8 @@
 // checkProgress has a task that stands still started elsewhere.
 func (conductor *Conductor) checkProgress(ctx context.Context, link *link, known *attempt, now time.Duration) {
 	job := conductor.state.Jobs[known.id.Job]
-	if known.stopping || job == nil || job.Over() || job.Steps[known.id.Step].Lasting || now-known.progressed < stuckAfter {
+	if known.stopping || job == nil || job.Over() || job.Steps[known.id.Step].Lasting ||
+		now-known.progressed < max(stuckAfter, conductor.config.Terms.GangWait+stuckMargin) {
 		return
 	}
 	conductor.doubt(link, "a task stands still")
