--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -205,7 +205,7 @@
 	load.submit("gang", "draw", gang)
 	load.run()
 	load.c.Assert(load.asked, qt.HasLen, 1)
-	load.answer(load.asked[0], func(name modeller.WorkerName) bool { return true })
+	load.answer(load.asked[0], func(modeller.WorkerName) bool { return true })
 	known := load.approval(stager.StepID{Job: "gang"})
 	lapsed := known.Tickets["w01"]
 	lapsed.Until = load.now - 1
--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -65,7 +65,7 @@
 	// long task. A gang's tasks may wait stuckMargin longer than for each other.
 	stuckAfter  = 4 * time.Second
 	stuckMargin = time.Second
-	percentAll = 100
+	percentAll  = 100
 )
 
 // remaining estimates how long the attempt still runs.
@@ -88,7 +88,7 @@
 	for at := range place.Tasks {
 		task := &place.Tasks[at]
 		link := conductor.links[task.Worker]
-		made := &attempt{id: stager.TaskID{StepID: place.Step, Index: task.Index}, number: task.Attempt, ticket: task.Ticket, placedAt: conductor.config.Clock()}
+		made := &attempt{id: stager.TaskID{StepID: place.Step, Index: task.Index}, number: task.Attempt, ticket: task.Ticket, state: placed, placedAt: conductor.config.Clock()}
 		link.attempts[made.id] = made
 		all[at] = live{link, made}
 		logger.Info(conductor.config.Logger, "task placed", "Task", made.id.String(), "Attempt", made.number, "Worker", task.Worker,
