--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -51,7 +51,7 @@
 		},
 	}).Register(server)
 	go func() { _ = server.Serve(listener) }()
-	c.TB.Cleanup(server.Stop)
+	c.Cleanup(server.Stop)
 	return made
 }
 
@@ -81,7 +81,7 @@
 
 func start(ctx context.Context, c *qt.C, address string) *relayer.Relayer {
 	way := locator.New(locator.Config{Addresses: []string{address}, TryMost: relayer.TryMost})
-	c.TB.Cleanup(way.Close)
+	c.Cleanup(way.Close)
 	made := relayer.New(relayer.Config{
 		Cell: "main", Locator: way, Logger: log.NewNopLogger(),
 		Ask: func(_ context.Context, inquiry *stager.Inquiry) stager.Advice {
