--- a/stager/deployment.go
+++ b/stager/deployment.go
@@ -27,7 +27,8 @@
 	// Host and Prefix are where callers address the queue.
 	Host, Prefix string
 	Pool         PoolName
-	// Rank orders the queues: 0 goes first.
+	// Rank is the operators' order of the queues, 0 first. The policy goes by
+	// what each job's lateness still allows, and uses it for nothing yet.
 	Rank int
 	// MostFailures is how often a task may fail before its job does.
 	MostFailures uint32
