Keep the number of voters odd

Change: a learner gets a vote only up to the largest odd number; the rest follow the log and take a lost voter's place. As many losses are borne as before.

--- a/internal/cellrunner/runner.go
+++ b/internal/cellrunner/runner.go
@@ -310,7 +310,7 @@
 
 func (runner *Runner) stepMembers(ctx context.Context) {
 	node := runner.node.Load()
-	next := nextMembers(node.Status().Members, node.CaughtUp)
+	next := NextMembers(node.Status().Members, node.CaughtUp)
 	if next == nil {
 		return
 	}
@@ -323,10 +323,18 @@
 	logger.Info(runner.logger, "membership changed", "Members", len(next))
 }
 
-// nextMembers returns the next single change of the membership, or nil. An old
-// identity goes as soon as the new one at its address has caught up, and the
-// new one votes right after that.
-func nextMembers(members []journaler.Member, caughtUp func(journaler.ReplicaID) bool) []journaler.Member {
+// NextMembers returns the next single change of the membership, or nil. An old
+// identity goes as soon as the new one at its address has caught up, and a
+// learner gets the vote that is free then. An even number of voters bears no more
+// losses than one fewer and has no majority when it is cut in halves, so one
+// replica of an even number stays a learner.
+func NextMembers(members []journaler.Member, caughtUp func(journaler.ReplicaID) bool) []journaler.Member {
+	voters := 0
+	for _, member := range members {
+		if member.Voter {
+			voters++
+		}
+	}
 	for at, learner := range members {
 		if learner.Voter || !caughtUp(learner.ID) {
 			continue
@@ -338,8 +346,14 @@
 		if old >= 0 {
 			return slices.Delete(next, old, old+1)
 		}
+		if voters >= mostVoters(len(members)) {
+			continue
+		}
 		next[at].Voter = true
 		return next
 	}
 	return nil
 }
+
+// mostVoters is the largest odd number of so many members.
+func mostVoters(members int) int { return members - 1 + members%2 }
