Ask again soon what was not answered; wait out an election

Ruled out: the leader's own slowness (half of all starts 43 ms after arrival).

- A start is waited for 0.3 s and sent again at once, longer each time; a hold waits until the first attempt should have ended and 0.3 s more.
- A worker gets nothing new from a call that was not answered until one is; a new or adopted one has to answer a hold first, which also ends the wait for idle workers' heartbeats after a change of leader.
- Relays look for a leader each 0.1 s, and a request waits until 1.2 s after the leader was lost.

--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -55,8 +55,12 @@
 }
 
 const (
-	// retryPause is how long after an unanswered call it is sent again.
+	// retryPause is how long after an unanswered stop it is sent again.
 	retryPause = 200 * time.Millisecond
+	// startPatience is how long the answer to a first start may take: a hundred
+	// times the way there and back, and longer than TCP takes to send one lost
+	// packet again. A start that was sent before is waited for longer each time.
+	startPatience = 300 * time.Millisecond
 	// mostStarts bounds how often an unanswered start is sent, after which the
 	// attempt is stopped and placed elsewhere.
 	mostStarts = 3
@@ -135,9 +139,12 @@
 	}
 	attempt.state, attempt.calling = sent, true
 	attempt.starts++
+	patience := startPatience * time.Duration(attempt.starts)
 	target := link.target()
 	go func() {
-		answer := conductor.config.Start(ctx, target, order)
+		callCtx, cancel := context.WithTimeout(ctx, patience)
+		defer cancel()
+		answer := conductor.config.Start(callCtx, target, order)
 		conductor.post(func() { conductor.startAnswered(ctx, link, attempt, answer) })
 	}()
 }
@@ -150,7 +157,7 @@
 	}
 	now := conductor.config.Clock()
 	if answer.Outcome == Obeyed || answer.Outcome == Rejected {
-		conductor.heardOf(link, answer.Clock)
+		conductor.answered(link, answer.Clock)
 	}
 	switch answer.Outcome {
 	case Obeyed:
@@ -167,10 +174,12 @@
 		conductor.startRejected(ctx, link, attempt, answer)
 	case Unanswered:
 		attempt.unsure = true
-		attempt.callAt = now + retryPause
+		conductor.silence(link, "start", answer)
 		conductor.doubt(link, "a start was not answered")
 		if attempt.starts >= mostStarts {
 			conductor.stop(ctx, link, attempt, "its start was not answered")
+		} else {
+			conductor.pursue(ctx, link, attempt)
 		}
 	case Replaced:
 		conductor.bury(ctx, link, "another life answers at its address")
@@ -226,11 +235,14 @@
 	}
 	switch answer.Outcome {
 	case Obeyed:
-		conductor.heardOf(link, answer.Clock)
+		conductor.answered(link, answer.Clock)
 		attempt.stopped = conductor.config.Clock()
 		conductor.hold(ctx, link)
 	case Replaced:
 		conductor.bury(ctx, link, "another life answers at its address")
+	case Unanswered:
+		conductor.silence(link, "stop", answer)
+		attempt.callAt = conductor.config.Clock() + retryPause
 	default:
 		attempt.callAt = conductor.config.Clock() + retryPause
 	}
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -40,6 +40,8 @@
 	onStart func(conductor.Target, *conductor.StartOrder) conductor.Answer
 	onHold  func(conductor.Target, *conductor.HoldOrder) *conductor.Holding
 	lead    bool
+	// lostHolds is how many of the next holds that wait get no answer.
+	lostHolds int
 	// last is closed once the batch before is decided.
 	last chan struct{}
 }
@@ -154,9 +156,17 @@
 	})
 }
 
-func (fleet *fleet) hold(_ context.Context, target conductor.Target, order *conductor.HoldOrder) conductor.Holding {
+func (fleet *fleet) hold(ctx context.Context, target conductor.Target, order *conductor.HoldOrder) conductor.Holding {
 	time.Sleep(5 * time.Millisecond)
 	fleet.mutex.Lock()
+	if fleet.lostHolds > 0 && order.Wait > 0 {
+		fleet.lostHolds--
+		fleet.mutex.Unlock()
+		<-ctx.Done()
+		fleet.mutex.Lock()
+		defer fleet.mutex.Unlock()
+		return conductor.Holding{Answer: conductor.Answer{Outcome: conductor.Unanswered}}
+	}
 	defer fleet.mutex.Unlock()
 	if fleet.onHold != nil {
 		if holding := fleet.onHold(target, order); holding != nil {
@@ -435,3 +445,70 @@
 	defer fleet.mutex.Unlock()
 	fleet.c.Check(len(fleet.stops) >= 1, qt.IsTrue)
 }
+
+// TestAWorkerThatDoesNotAnswerGetsNothingNew has a worker that is cut off though
+// its announcements come: what was placed there waited for its lease.
+func TestAWorkerThatDoesNotAnswerGetsNothingNew(t *testing.T) {
+	fleet := newFleet(t, nil)
+	unanswered := conductor.Answer{Outcome: conductor.Unanswered}
+	sent := 0
+	fleet.mutex.Lock()
+	fleet.onStart = func(target conductor.Target, _ *conductor.StartOrder) conductor.Answer {
+		if target.Worker == "w1" {
+			sent++
+			return unanswered
+		}
+		return conductor.Answer{}
+	}
+	fleet.onHold = func(target conductor.Target, _ *conductor.HoldOrder) *conductor.Holding {
+		if target.Worker == "w1" {
+			return &conductor.Holding{Answer: unanswered}
+		}
+		return nil
+	}
+	fleet.mutex.Unlock()
+	fleet.announce("w1", 4)
+	fleet.announce("w2", 4)
+	fleet.submit("j", core(2))
+	fleet.await("both tasks where they can run", func() bool { return len(fleet.running["w2"]) == 2 })
+	fleet.c.Check(sent, qt.Equals, 0)
+}
+
+// TestAnUnansweredStartIsSentAgainAtOnce loses one start on its way: the job is
+// urgent, so it must not wait until nothing can be said of the first any more.
+func TestAnUnansweredStartIsSentAgainAtOnce(t *testing.T) {
+	fleet := newFleet(t, nil)
+	fleet.announce("w1", 4)
+	lost := false
+	fleet.mutex.Lock()
+	fleet.onStart = func(conductor.Target, *conductor.StartOrder) conductor.Answer {
+		if !lost {
+			lost = true
+			return conductor.Answer{Outcome: conductor.Unanswered}
+		}
+		return conductor.Answer{}
+	}
+	fleet.mutex.Unlock()
+	fleet.submit("j", core(1))
+	sent := time.Now()
+	fleet.await("the start", func() bool { return len(fleet.running["w1"]) == 1 })
+	fleet.c.Check(time.Since(sent) < 100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(sent)))
+}
+
+// TestALostHoldHidesAnEndForAboutASecond loses the answer that would have told of
+// the end of a short task.
+func TestALostHoldHidesAnEndForAboutASecond(t *testing.T) {
+	fleet := newFleet(t, nil)
+	fleet.announce("w", 4)
+	fleet.mutex.Lock()
+	fleet.lostHolds = 1
+	fleet.mutex.Unlock()
+	fleet.submit("j", core(1))
+	fleet.await("the lost hold", func() bool { return fleet.lostHolds == 0 })
+	fleet.mutex.Lock()
+	fleet.finish("w", "j.0.0.0", stager.Succeeding)
+	fleet.mutex.Unlock()
+	ended := time.Now()
+	fleet.await("the job's end", func() bool { return fleet.status() == stager.Completed })
+	fleet.c.Check(time.Since(ended) < 1500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(ended)))
+}
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -9,20 +9,29 @@
 )
 
 const (
-	// holdWait is how long a hold waits for an attempt to end.
-	holdWait = 2 * time.Second
+	// holdWaitMost and holdWaitLeast bound how long a hold waits for an attempt to
+	// end. The longest is what workers allow; a hold whose answer is lost hides
+	// the ends meanwhile, and each is a call that is paid for.
+	holdWaitMost  = 2 * time.Second
+	holdWaitLeast = 500 * time.Millisecond
+	// holdPatience is how much longer than its wait a hold may take: as long as
+	// the answer to a first start.
+	holdPatience = startPatience
 	// holdPause is how long after an unanswered hold the next is sent.
 	holdPause = 100 * time.Millisecond
+	// probePause is how long after an unanswered hold the next is sent to a
+	// worker that runs nothing.
+	probePause = 500 * time.Millisecond
 )
 
-// hold keeps one call open at a worker that runs something or has endings that
-// it may forget.
+// hold keeps one call open at a worker that runs something, has endings that it
+// may forget, or has yet to answer so that it can be given work.
 func (conductor *Conductor) hold(ctx context.Context, link *link) {
 	now := conductor.config.Clock()
-	if link.holding || now < link.holdAt || len(link.attempts) == 0 && link.told >= link.observed {
+	if link.holding || now < link.holdAt || len(link.attempts) == 0 && link.told >= link.observed && !link.silent {
 		return
 	}
-	wanted := len(link.attempts) == 0
+	wanted := len(link.attempts) == 0 || link.silent
 	for _, attempt := range link.attempts {
 		wanted = wanted || attempt.adopted || attempt.state == running || attempt.stopped != 0 || attempt.unsure
 	}
@@ -36,22 +45,30 @@
 	link.holding = true
 	target := link.target()
 	go func() {
-		holding := conductor.config.Hold(ctx, target, order)
+		callCtx, cancel := context.WithTimeout(ctx, order.Wait+holdPatience)
+		defer cancel()
+		holding := conductor.config.Hold(callCtx, target, order)
 		conductor.post(func() { conductor.held(ctx, link, order, now, holding) })
 	}()
 }
 
-// holdWait is short while something has to be learned soon.
+// holdWait is how long the next hold waits: until the first attempt should have
+// ended, and not at all while something has to be learned soon.
 func (conductor *Conductor) holdWait(link *link) time.Duration {
-	if len(link.attempts) == 0 || link.misses > 0 {
+	if len(link.attempts) == 0 || link.silent {
 		return 0
 	}
-	for _, attempt := range link.attempts {
+	wait := holdWaitMost
+	for id, attempt := range link.attempts {
 		if attempt.adopted || attempt.stopped != 0 && attempt.state != running {
 			return 0
 		}
+		if job := conductor.state.Jobs[id.Job]; job != nil {
+			left := time.Duration(attempt.remaining(&job.Steps[id.Step])) * time.Millisecond
+			wait = min(wait, left+holdWaitLeast)
+		}
 	}
-	return holdWait
+	return wait
 }
 
 // held takes up what a worker says that it runs. The hold was sent at a time;
@@ -75,7 +92,7 @@
 	}
 	link.misses = 0
 	link.told = max(link.told, order.Observed)
-	conductor.heardOf(link, holding.Clock)
+	conductor.answered(link, holding.Clock)
 	listed := conductor.takeRunning(ctx, link, holding.Running)
 	conductor.takeEnded(ctx, link, listed, holding.Ended)
 	if len(holding.Ended) < endedMost {
@@ -87,10 +104,10 @@
 func (conductor *Conductor) holdMissed(link *link, holding Holding) {
 	link.misses++
 	link.holdAt = conductor.config.Clock() + holdPause
-	if link.misses == 1 {
-		logger.Warn(conductor.config.Logger, "worker does not answer", "Worker", link.name, "Outcome", holding.Outcome.String(),
-			"Reason", holding.Reason.String(), "Detail", holding.Detail, "Live", len(link.attempts))
+	if len(link.attempts) == 0 {
+		link.holdAt += probePause - holdPause
 	}
+	conductor.silence(link, "hold", holding.Answer)
 }
 
 // resumeHold sends the next hold once what this one brought is committed, so
--- a/conductor/link.go
+++ b/conductor/link.go
@@ -21,6 +21,10 @@
 	// true while a new leader has only the log's word for it.
 	heard   time.Duration
 	unheard bool
+	// silent is true from a call that was not answered, or the beginning, until
+	// one is: the worker may be cut off though its announcements come, so it gets
+	// nothing new.
+	silent bool
 
 	// clock was the worker's clock no later than at clockAt. It is zero while it
 	// is not known.
@@ -76,7 +80,7 @@
 }
 
 func (conductor *Conductor) connect(worker *stager.Worker) *link {
-	made := &link{name: worker.Name, life: worker.Life, address: worker.Address, heard: conductor.config.Clock(), attempts: make(map[stager.TaskID]*attempt)}
+	made := &link{name: worker.Name, life: worker.Life, address: worker.Address, heard: conductor.config.Clock(), silent: true, attempts: make(map[stager.TaskID]*attempt)}
 	conductor.links[worker.Name] = made
 	return made
 }
@@ -113,6 +117,7 @@
 	known.number = announcement.Number
 	known.address = worker.Address
 	conductor.heardOf(known, announcement.Clock)
+	conductor.hold(ctx, known)
 	conductor.dirty = true
 	if worker.Leaving {
 		conductor.vacate(ctx, known, announcement.Remaining)
@@ -135,6 +140,25 @@
 	}
 }
 
+// answered notes that a worker answered a call, so that it can be given work.
+func (conductor *Conductor) answered(link *link, clock modeller.Millis) {
+	conductor.heardOf(link, clock)
+	if link.silent {
+		link.silent = false
+		conductor.dirty = true
+	}
+}
+
+// silence notes that a call was not answered.
+func (conductor *Conductor) silence(link *link, call string, answer Answer) {
+	if link.silent {
+		return
+	}
+	link.silent = true
+	logger.Warn(conductor.config.Logger, "worker does not answer", "Worker", link.name, "Call", call, "Outcome", answer.Outcome.String(),
+		"Reason", answer.Reason.String(), "Detail", answer.Detail, "Live", len(link.attempts), "HeardMillisAgo", (conductor.config.Clock() - link.heard).Milliseconds())
+}
+
 // clockNow is a time that the worker's clock has surely reached.
 func (conductor *Conductor) clockNow(link *link) modeller.Millis {
 	passed := millis(conductor.config.Clock() - link.clockAt)
@@ -148,7 +172,7 @@
 	if link.clock == 0 || !conductor.config.Leads() {
 		return 0
 	}
-	if link.misses > 0 {
+	if link.expires > 0 && link.silent {
 		return link.expires
 	}
 	end := conductor.clockNow(link) + millis(conductor.config.Terms.Lease)
@@ -172,7 +196,7 @@
 
 // usable reports whether a worker may get new work.
 func (conductor *Conductor) usable(link *link, now time.Duration) bool {
-	return !link.unheard && link.clock != 0 && link.misses == 0 && now-link.heard < conductor.config.Terms.StaleAfter && now >= link.avoidUntil
+	return !link.unheard && !link.silent && link.clock != 0 && now-link.heard < conductor.config.Terms.StaleAfter && now >= link.avoidUntil
 }
 
 // watch looks after one worker as time passes.
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -47,6 +47,9 @@
 	// TryMost bounds one try, so that a paused replica does not hold up a call;
 	// zero stands for tryMost.
 	TryMost time.Duration
+	// PauseMost bounds the pause between two rounds over the replicas; zero
+	// stands for pauseMost.
+	PauseMost time.Duration
 }
 
 // Locator finds the leader. It is safe for concurrent use.
@@ -188,7 +191,7 @@
 func (locator *Locator) Call(ctx context.Context, try Try) *coder.Refusal {
 	pause := backoff.NewExponentialBackOff(
 		backoff.WithInitialInterval(pauseFirst),
-		backoff.WithMaxInterval(pauseMost),
+		backoff.WithMaxInterval(cmp.Or(locator.config.PauseMost, pauseMost)),
 		backoff.WithMaxElapsedTime(0),
 	)
 	reached := false
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -34,29 +34,46 @@
 
 // Relayer passes requests on. It is safe for concurrent use.
 type Relayer struct {
-	config Config
-	// session ends when the leader is lost.
-	session atomic.Pointer[context.Context]
+	config  Config
+	session atomic.Pointer[session]
+}
+
+// session is the time with one leader, or without any.
+type session struct {
+	// led ends when the leader is lost; nil while there is none.
+	led context.Context
+	// since is when the last leader was lost; zero if there was none yet.
+	since time.Time
 }
 
 // New returns a relayer.
 func New(config Config) *Relayer {
 	relayer := &Relayer{config: config}
-	lost, cancel := context.WithCancel(context.Background())
-	cancel()
-	relayer.session.Store(&lost)
+	relayer.session.Store(&session{})
 	return relayer
 }
 
-// leaderlessMost is how long a request waits for a leader when there is none. An
-// election takes longer: whoever asks is told to come back rather than held.
-const leaderlessMost = 300 * time.Millisecond
+const (
+	// electionMost is how long after a lost leader a request waits for the next:
+	// the longest silence after which a replica stands, 900 ms by the settings'
+	// default, and the votes and the first commit behind it. A leader that is not
+	// there by then may not come soon, so whoever asks is told to come back.
+	electionMost = 1200 * time.Millisecond
+	// leaderlessMost is how long a request waits at least: a leader may be there
+	// that was not found yet.
+	leaderlessMost = 300 * time.Millisecond
+)
 
-// bounded returns a context that ends soon after the leader is lost, so that a
-// request that cannot be served is refused at once.
+// bounded returns a context that ends some time after the leader is lost, so
+// that a request waits out a usual election and is refused at once when the cell
+// cannot elect.
 func (relayer *Relayer) bounded(ctx context.Context) (context.Context, context.CancelFunc) {
+	session := relayer.session.Load()
+	if session.led == nil {
+		return context.WithTimeout(ctx, max(leaderlessMost, time.Until(session.since.Add(electionMost))))
+	}
 	ctx, cancel := context.WithCancel(ctx)
-	stop := context.AfterFunc(*relayer.session.Load(), func() { time.AfterFunc(leaderlessMost, cancel) })
+	stop := context.AfterFunc(session.led, func() { time.AfterFunc(electionMost, cancel) })
 	return ctx, func() {
 		stop()
 		cancel()
@@ -117,6 +134,10 @@
 // staged jobs wait for about three seconds in all.
 const TryMost = 700 * time.Millisecond
 
+// PauseMost bounds the pause between two rounds over the replicas: a new leader is
+// there within a second, and who finds it late refuses what could be served.
+const PauseMost = 100 * time.Millisecond
+
 const (
 	// sessionPause is how long after a lost leader the next is looked for.
 	sessionPause = 100 * time.Millisecond
@@ -151,7 +172,8 @@
 func (relayer *Relayer) attend(ctx context.Context, client messenger.CellClient) error {
 	streamCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	relayer.session.Store(&streamCtx)
+	relayer.session.Store(&session{led: streamCtx})
+	defer func() { relayer.session.Store(&session{since: time.Now()}) }()
 	silence := time.AfterFunc(silenceMost, func() {
 		relayer.config.Locator.Doubt(client)
 		cancel()
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-kit/log"
+	"google.golang.org/grpc"
 
 	"github.com/dotterelrill/dotterelrill/coder"
 	"github.com/dotterelrill/dotterelrill/locator"
@@ -23,9 +24,12 @@
 type leader struct {
 	address string
 	silent  atomic.Bool
+	// follows is true while it is a replica that does not lead.
+	follows atomic.Bool
 	// questions are sent to whoever attaches.
 	questions chan *messenger.Inquiring
 	advice    chan stager.Advice
+	server    *grpc.Server
 }
 
 func startLeader(ctx context.Context, c *qt.C) *leader {
@@ -33,10 +37,11 @@
 	c.Assert(err, qt.IsNil)
 	made := &leader{address: listener.Addr().String(), questions: make(chan *messenger.Inquiring, 1), advice: make(chan stager.Advice, 1)}
 	server := messenger.NewServer(nil)
+	made.server = server
 	(&messenger.CellServer{
 		Query: func(ctx context.Context, _ *messenger.QueryRequest) (*messenger.QueryReply, error) {
 			made.hang(ctx)
-			return &messenger.QueryReply{}, nil
+			return &messenger.QueryReply{Refusal: made.refusal()}, nil
 		},
 		Staged: messenger.StagedServer{
 			Submit: func(ctx context.Context, _ *messenger.StagedSubmitRequest) (*messenger.StagedReply, error) {
@@ -55,6 +60,13 @@
 	return made
 }
 
+func (leader *leader) refusal() *coder.Refusal {
+	if leader.follows.Load() {
+		return coder.Refuse(coder.NotLeader, "another replica leads")
+	}
+	return nil
+}
+
 func (leader *leader) hang(ctx context.Context) {
 	if leader.silent.Load() {
 		<-ctx.Done()
@@ -80,7 +92,7 @@
 }
 
 func start(ctx context.Context, c *qt.C, address string) *relayer.Relayer {
-	way := locator.New(locator.Config{Addresses: []string{address}, TryMost: relayer.TryMost})
+	way := locator.New(locator.Config{Addresses: []string{address}, TryMost: relayer.TryMost, PauseMost: relayer.PauseMost})
 	c.Cleanup(way.Close)
 	made := relayer.New(relayer.Config{
 		Cell: "main", Locator: way, Logger: log.NewNopLogger(),
@@ -150,3 +162,29 @@
 		c.Fatal("no advice came")
 	}
 }
+
+// TestARequestWaitsOutAnElection loses the leader's process and brings another up
+// after less than an election takes: who was refused at once came back later than
+// that.
+func TestARequestWaitsOutAnElection(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	first, second := startLeader(ctx, c), startLeader(ctx, c)
+	second.follows.Store(true)
+	relayer := start(ctx, c, first.address)
+	served := false
+	for until := time.Now().Add(5 * time.Second); !served && time.Now().Before(until); {
+		refusal, _ := submit(relayer)
+		served = refusal == nil
+	}
+	c.Assert(served, qt.IsTrue)
+	// A leader names the replicas to whoever attends it.
+	first.questions <- &messenger.Inquiring{Replicas: []string{second.address}}
+	time.Sleep(50 * time.Millisecond)
+	first.server.Stop()
+	time.AfterFunc(800*time.Millisecond, func() { second.follows.Store(false) })
+	time.Sleep(50 * time.Millisecond)
+	refusal, took := submit(relayer)
+	c.Check(refusal == nil, qt.IsTrue, qt.Commentf("%v after %s", refusal, took))
+}
