A gang's task that has done its own work does not stand still

Found with a log line added for it.

A task that shows no progress for 2 s, or a tenth of its estimate, is now started elsewhere; a gang's only before its work is done.

--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -64,14 +64,30 @@
 	// mostStarts bounds how often an unanswered start is sent, after which the
 	// attempt is stopped and placed elsewhere.
 	mostStarts = 3
-	// stuckAfter is how long a task may show no progress before it is started
-	// elsewhere: several times what a very slow worker takes for one percent of a
-	// long task. A gang's tasks may wait stuckMargin longer than for each other.
-	stuckAfter  = 4 * time.Second
+	// stuckLeast and stuckDivisor, of the estimated run time, bound how long a task
+	// may show no progress before it is started elsewhere. A tenth is what one
+	// percent takes where the estimate is ten times too low.
+	stuckLeast   = 2 * time.Second
+	stuckDivisor = 10
+	// stuckMargin is how much longer than for each other a gang's tasks may take
+	// to begin.
 	stuckMargin = time.Second
 	percentAll  = 100
 )
 
+// stands reports whether an attempt has shown no progress for too long. A gang's
+// task that has done its own work waits for the others.
+func (attempt *attempt) stands(step *stager.Step, gangWait, now time.Duration) bool {
+	if attempt.stopping || step.Lasting || step.Gang && attempt.percent >= percentAll {
+		return false
+	}
+	most := max(stuckLeast, time.Duration(step.RunTime)*time.Millisecond/stuckDivisor)
+	if step.Gang && attempt.percent == 0 {
+		most = max(most, gangWait+stuckMargin)
+	}
+	return now-attempt.progressed >= most
+}
+
 // remaining estimates how long the attempt still runs.
 func (attempt *attempt) remaining(step *stager.Step) modeller.Millis {
 	return step.RunTime * modeller.Millis(percentAll-attempt.percent) / percentAll
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -40,6 +40,8 @@
 	onStart func(conductor.Target, *conductor.StartOrder) conductor.Answer
 	onHold  func(conductor.Target, *conductor.HoldOrder) *conductor.Holding
 	lead    bool
+	// percent is how far all that a worker runs is.
+	percent map[modeller.WorkerName]int
 	// lostHolds is how many of the next holds that wait get no answer.
 	lostHolds int
 	// last is closed once the batch before is decided.
@@ -73,6 +75,7 @@
 		c: c, state: state, ended: make(chan error, 1), lead: true,
 		running: make(map[modeller.WorkerName]map[string]conductor.StartOrder), done: make(map[modeller.WorkerName][]conductor.EndedAttempt),
 		observed: make(map[modeller.WorkerName]uint64),
+		percent:  make(map[modeller.WorkerName]int),
 	}
 	begun := time.Now()
 	copied, err := state.Clone()
@@ -176,7 +179,7 @@
 	fleet.observed[target.Worker] = max(fleet.observed[target.Worker], order.Observed)
 	holding := conductor.Holding{Answer: conductor.Answer{Outcome: conductor.Obeyed, Clock: clock()}, Life: target.Life}
 	for _, order := range fleet.running[target.Worker] {
-		holding.Running = append(holding.Running, conductor.RunningAttempt{Task: order.Task, Attempt: order.Attempt})
+		holding.Running = append(holding.Running, conductor.RunningAttempt{Task: order.Task, Attempt: order.Attempt, Percent: fleet.percent[target.Worker]})
 	}
 	for _, ended := range fleet.done[target.Worker] {
 		if ended.Number > order.Observed {
@@ -512,3 +515,31 @@
 	fleet.await("the job's end", func() bool { return fleet.status() == stager.Completed })
 	fleet.c.Check(time.Since(ended) < 1500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(ended)))
 }
+
+// TestAGangsFirstToBeReadyWaitsForTheOthers has a gang on a fast and a slow
+// worker: the fast one shows all its work done and no progress any more. A third
+// worker's task stands still in earnest.
+func TestAGangsFirstToBeReadyWaitsForTheOthers(t *testing.T) {
+	fleet := newFleet(t, nil)
+	fleet.announce("w1", 1)
+	fleet.announce("w2", 1)
+	fleet.mutex.Lock()
+	fleet.percent["w1"] = 100
+	fleet.mutex.Unlock()
+	gang := core(2)
+	gang.Gang = true
+	fleet.submit("gang", gang)
+	fleet.await("the gang", func() bool { return len(fleet.running["w1"])+len(fleet.running["w2"]) == 2 })
+	fleet.announce("w3", 1)
+	fleet.submit("j", core(1))
+	fleet.await("the third", func() bool { return len(fleet.running["w3"]) == 1 })
+	for until := time.Now().Add(4500 * time.Millisecond); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		fleet.mutex.Lock()
+		fleet.percent["w2"]++
+		fleet.mutex.Unlock()
+	}
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.c.Check(slices.Contains(fleet.stops, "j.0.0.0"), qt.IsTrue)
+	fleet.c.Check(slices.ContainsFunc(fleet.stops, func(task string) bool { return task != "j.0.0.0" }), qt.IsFalse, qt.Commentf("%v", fleet.stops))
+}
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -151,10 +151,11 @@
 // checkProgress has a task that stands still started elsewhere.
 func (conductor *Conductor) checkProgress(ctx context.Context, link *link, known *attempt, now time.Duration) {
 	job := conductor.state.Jobs[known.id.Job]
-	if known.stopping || job == nil || job.Over() || job.Steps[known.id.Step].Lasting ||
-		now-known.progressed < max(stuckAfter, conductor.config.Terms.GangWait+stuckMargin) {
+	if job == nil || job.Over() || !known.stands(&job.Steps[known.id.Step], conductor.config.Terms.GangWait, now) {
 		return
 	}
+	logger.Warn(conductor.config.Logger, "task stands still", "Task", known.id.String(), "Attempt", known.number, "Worker", link.name,
+		"Percent", known.percent, "ForMillis", (now - known.progressed).Milliseconds(), "EstimateMillis", int64(job.Steps[known.id.Step].RunTime))
 	conductor.doubt(link, "a task stands still")
 	conductor.stop(ctx, link, known, "it stands still")
 }
