Gangs keep the room that comes free first; run times and paces are learned

- A gang that waits keeps the room that will be free first on the workers it is approved for, by the progress of what runs there; of the late ones only the first does.
It asks once for many workers, emptiest first, and for tickets when its room is about to be free.
- estimator.Trend: real against declared run times, a line by queue; estimator.Pace: how fast a worker is.
Urgent steps go to fast workers, nothing goes to one that takes 1.6 times the usual while others have room.

--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -19,6 +19,8 @@
 	placed    []string
 	asked     []allotter.Question
 	now       modeller.Millis
+	endings   map[modeller.WorkerName][]allotter.Ending
+	pace      map[modeller.WorkerName]float64
 }
 
 const cores = 8
@@ -76,6 +78,7 @@
 	load.placed, load.asked = nil, nil
 	config := allotter.Config{
 		State: load.state, Now: load.now, Elapsed: load.now, Approval: load.approval,
+		Endings: func(name modeller.WorkerName) []allotter.Ending { return load.endings[name] },
 		Place: func(place *stager.Place) error {
 			load.state.Now = load.now
 			if err := load.state.Do(&stager.Command{Place: place}); err != nil {
@@ -92,7 +95,8 @@
 		},
 	}
 	for at := range len(load.state.Workers) {
-		config.Candidates = append(config.Candidates, allotter.Candidate{Worker: load.state.Workers[modeller.WorkerName(fmt.Sprintf("w%02d", at))]})
+		name := modeller.WorkerName(fmt.Sprintf("w%02d", at))
+		config.Candidates = append(config.Candidates, allotter.Candidate{Worker: load.state.Workers[name], Pace: load.pace[name]})
 	}
 	return allotter.New(config).Run()
 }
@@ -162,6 +166,57 @@
 	load.c.Check(load.asked, qt.HasLen, 0)
 }
 
+// TestAGangThatWaitsKeepsTheRoomThatComesFree plays a nearly full fleet: small
+// steps used to take each piece of room that came free, and the gang waited until
+// it was late. It asks once which workers it may have, and not again before it
+// fits.
+func TestAGangThatWaitsKeepsTheRoomThatComesFree(t *testing.T) {
+	load := newLoad(t, 3, true)
+	load.submit("old", "swap", step(3, 5, 100))
+	for at := range 3 {
+		load.do(stager.Command{Place: &stager.Place{Step: stager.StepID{Job: "old"}, Tasks: []stager.Placed{
+			{Index: uint32(at), Attempt: 1, Worker: modeller.WorkerName(fmt.Sprintf("w%02d", at)), Life: 1},
+		}}})
+	}
+	size := modeller.Resources{MilliProcessors: 5000, MemoryMiB: 100}
+	load.endings = map[modeller.WorkerName][]allotter.Ending{
+		"w00": {{At: load.now + 9000, Size: size}}, "w01": {{At: load.now + 500, Size: size}}, "w02": {{At: load.now + 700, Size: size}},
+	}
+	gang := step(2, 8, 1000)
+	gang.Gang = true
+	load.submit("gang", "draw", gang)
+	load.run()
+	load.c.Assert(load.asked, qt.HasLen, 1)
+	load.answer(load.asked[0], func(modeller.WorkerName) bool { return true })
+	load.submit("small", "draw", step(3, 2, 5000))
+	small := load.approval(stager.StepID{Job: "small"})
+	for at := range 3 {
+		small.Tickets[modeller.WorkerName(fmt.Sprintf("w%02d", at))] = allotter.Ticket{Ticket: "t", Life: 1, Until: load.now + 60_000}
+	}
+	load.now += 400
+	load.run()
+	load.c.Check(load.placed, qt.DeepEquals, []string{"small"}, qt.Commentf("on the worker that is free last"))
+	load.c.Check(load.state.Workers["w00"].LiveCount(), qt.Equals, 2)
+	load.c.Check(load.asked, qt.HasLen, 0)
+	load.now += 5000
+	for name := range load.endings {
+		load.endings[name][0].At += 5000
+	}
+	load.run()
+	load.c.Check(load.asked, qt.HasLen, 0, qt.Commentf("the tickets have lapsed, and it will not fit soon"))
+}
+
+func TestASwapGoesToAFastWorkerAndNothingToASlowOne(t *testing.T) {
+	load := newLoad(t, 3, false)
+	load.pace = map[modeller.WorkerName]float64{"w00": 5, "w01": 1.2, "w02": 0.8}
+	load.submit("swap", "swap", step(1, 1, 5000))
+	load.submit("draw", "draw", step(9, 1, 100))
+	load.run()
+	load.c.Check(load.state.Workers["w02"].LiveCount() > 0, qt.IsTrue)
+	load.c.Check(load.state.Jobs["swap"].Tasks[0].Worker, qt.Equals, modeller.WorkerName("w02"))
+	load.c.Check(load.state.Workers["w00"].LiveCount(), qt.Equals, 0)
+}
+
 func TestALapsedTicketIsAskedForAlone(t *testing.T) {
 	load := newLoad(t, 10, true)
 	load.submit("j", "swap", step(1, 8, 500))
--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -46,7 +46,7 @@
 	if terms == nil || now < known.retryAt {
 		return
 	}
-	takes := terms.Decide + time.Duration(len(question.Workers))*terms.PerWorker
+	takes := terms.Takes(len(question.Workers))
 	if !conductor.config.Ask(stager.Inquiry{Step: question.Step, Workers: question.Workers, Takes: takes, Urgency: question.Urgency, Latest: question.Latest}) {
 		known.retryAt = now + inquiryPause
 		return
--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -49,7 +49,10 @@
 	// acknowledged is when the worker acknowledged the start.
 	acknowledged time.Duration
 	saved        stager.Checkpoint
-	percent      int
+	// resumed is true if the attempt did not begin from nothing, or not under
+	// this leader, so that its run tells no run time.
+	resumed bool
+	percent int
 	// progressed is when the worker last showed more progress.
 	progressed time.Duration
 }
@@ -88,11 +91,6 @@
 	return now-attempt.progressed >= most
 }
 
-// remaining estimates how long the attempt still runs.
-func (attempt *attempt) remaining(step *stager.Step) modeller.Millis {
-	return step.RunTime * modeller.Millis(percentAll-attempt.percent) / percentAll
-}
-
 // ran is how long the attempt has run, or zero if that is not known.
 func (attempt *attempt) ran(now time.Duration) time.Duration {
 	if attempt.acknowledged == 0 {
@@ -153,7 +151,7 @@
 		Task: attempt.id, Attempt: attempt.number, Payload: job.Payload, Expires: expires, Fence: conductor.state.Term,
 		Saved: conductor.state.Saved(job, attempt.id), Ticket: attempt.ticket,
 	}
-	attempt.state, attempt.calling = sent, true
+	attempt.state, attempt.calling, attempt.resumed = sent, true, order.Saved != ""
 	attempt.starts++
 	patience := startPatience * time.Duration(attempt.starts)
 	target := link.target()
@@ -272,8 +270,11 @@
 	if job == nil || job.Task(ended.id) == nil {
 		return
 	}
-	gang := job.Steps[ended.id.Step].Gang
+	step := job.Steps[ended.id.Step]
 	over := job.Over()
+	if how == stager.Succeeding {
+		conductor.learn(link, job, ended, &step)
+	}
 	if !conductor.try(&stager.Command{End: &stager.End{Task: ended.id, Attempt: ended.number, How: how, Saved: saved}}, "end an attempt") {
 		return
 	}
@@ -288,7 +289,7 @@
 			logger.Info(conductor.config.Logger, "job ended", "Job", job.ID, "Status", job.Status().String(), "TookMillis", int64(job.Ended-job.Accepted))
 		}
 		conductor.abandon(ctx, job)
-	case gang && how != stager.Succeeding:
+	case step.Gang && how != stager.Succeeding:
 		conductor.breakGang(ctx, job, ended)
 	}
 }
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -23,6 +23,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/dotterelrill/dotterelrill/allotter"
+	"github.com/dotterelrill/dotterelrill/estimator"
 	"github.com/dotterelrill/dotterelrill/modeller"
 	"github.com/dotterelrill/dotterelrill/stager"
 )
@@ -91,6 +92,8 @@
 
 	links     map[modeller.WorkerName]*link
 	approvals map[stager.StepID]*approval
+	// trends tell how long tasks of a queue take.
+	trends map[modeller.QueueName]*estimator.Trend
 	// begun is when the conductor began, on its clock.
 	begun    time.Duration
 	measures *measures
@@ -122,6 +125,7 @@
 		done:      make(chan struct{}),
 		links:     make(map[modeller.WorkerName]*link),
 		approvals: make(map[stager.StepID]*approval),
+		trends:    make(map[modeller.QueueName]*estimator.Trend),
 		measures:  newMeasures(config.Metrics),
 	}
 }
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -64,7 +64,7 @@
 			return 0
 		}
 		if job := conductor.state.Jobs[id.Job]; job != nil {
-			left := time.Duration(attempt.remaining(&job.Steps[id.Step])) * time.Millisecond
+			left := attempt.remaining(conductor.runTime(job.Queue, job.Steps[id.Step].RunTime), conductor.config.Clock())
 			wait = min(wait, left+holdWaitLeast)
 		}
 	}
--- a/conductor/link.go
+++ b/conductor/link.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dotterelrill/dotterelrill/coder"
+	"github.com/dotterelrill/dotterelrill/estimator"
 	"github.com/dotterelrill/dotterelrill/internal/logger"
 	"github.com/dotterelrill/dotterelrill/modeller"
 	"github.com/dotterelrill/dotterelrill/stager"
@@ -44,6 +45,8 @@
 	// was last told of that.
 	observed, told uint64
 
+	// pace is learned from the tasks that succeed here.
+	pace estimator.Pace
 	// streak counts failures in a row that speak against the worker, and
 	// avoidUntil is until when it gets nothing for that.
 	streak     int
@@ -69,7 +72,7 @@
 		for _, id := range conductor.state.LiveOn(name) {
 			job := conductor.state.Jobs[id.Job]
 			task := job.Task(id)
-			adopted := &attempt{id: id, number: task.Attempt, ticket: task.Ticket, state: sent, unsure: true, adopted: true, stopping: job.Over()}
+			adopted := &attempt{id: id, number: task.Attempt, ticket: task.Ticket, state: sent, unsure: true, adopted: true, resumed: true, stopping: job.Over()}
 			link.attempts[id] = adopted
 		}
 		conductor.hold(ctx, link)
@@ -238,7 +241,8 @@
 	for id, attempt := range link.attempts {
 		job := conductor.state.Jobs[id.Job]
 		step := &job.Steps[id.Step]
-		if attempt.state == running && !attempt.stopping && step.Checkpoints && !step.Gang && attempt.remaining(step) > remaining {
+		if attempt.state == running && !attempt.stopping && step.Checkpoints && !step.Gang &&
+			millis(attempt.remaining(conductor.runTime(job.Queue, step.RunTime), conductor.config.Clock())) > remaining {
 			conductor.stop(ctx, link, attempt, "its worker is leaving")
 		}
 	}
--- a/conductor/plan.go
+++ b/conductor/plan.go
@@ -38,7 +38,9 @@
 			conductor.launch(ctx, place)
 			return nil
 		},
-		Ask: conductor.ask,
+		Ask:     conductor.ask,
+		RunTime: conductor.runTime,
+		Endings: conductor.endings,
 	}).Run()
 }
 
@@ -70,7 +72,7 @@
 	for name, link := range conductor.links {
 		worker := conductor.state.Workers[name]
 		if worker != nil && !worker.Leaving && conductor.usable(link, now) {
-			made = append(made, allotter.Candidate{Worker: worker, Doubt: link.streak})
+			made = append(made, allotter.Candidate{Worker: worker, Doubt: link.streak, Pace: link.pace.Factor()})
 		}
 	}
 	slices.SortFunc(made, func(left, right allotter.Candidate) int { return cmp.Compare(left.Worker.Name, right.Worker.Name) })
--- a/stager/apply.go
+++ b/stager/apply.go
@@ -179,7 +179,7 @@
 // shrink drops what nobody needs once a job is over and nothing of it runs.
 func (job *Job) shrink() {
 	if job.Over() && job.live == 0 {
-		job.Tasks, job.Steps, job.Payload, job.undone, job.firsts, job.chains = nil, nil, "", nil, nil, nil
+		job.Tasks, job.Steps, job.Payload, job.undone, job.firsts = nil, nil, "", nil, nil
 	}
 }
 
--- a/stager/deployment.go
+++ b/stager/deployment.go
@@ -52,6 +52,11 @@
 	Validity time.Duration
 }
 
+// Takes is how long a question about so many workers takes.
+func (advised *Advised) Takes(workers int) time.Duration {
+	return advised.Decide + time.Duration(workers)*advised.PerWorker
+}
+
 // Pool is a set of workers.
 type Pool struct {
 	Name PoolName
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -18,7 +18,6 @@
 
 import (
 	"fmt"
-	"slices"
 
 	"github.com/dotterelrill/dotterelrill/modeller"
 )
@@ -194,9 +193,6 @@
 	firsts []uint32
 	// undone counts the tasks that are not done by occurrence and step.
 	undone []uint32
-	// chains holds, by step, the run times of the longest chain that begins
-	// with it.
-	chains []modeller.Millis
 	// open counts all tasks that are not done, and live the live attempts.
 	open, live uint32
 }
@@ -264,7 +260,6 @@
 	for at := range job.Steps {
 		job.firsts[at+1] = job.firsts[at] + job.Steps[at].Tasks
 	}
-	job.chain()
 	if len(job.Tasks) == 0 {
 		return
 	}
@@ -290,19 +285,15 @@
 	}
 }
 
-// chain works out the longest chains from the last step to the first.
-func (job *Job) chain() {
-	job.chains = make([]modeller.Millis, len(job.Steps))
+// Chains returns, by step, the run times of the longest chain that begins with
+// it, each run time corrected by a function.
+func (job *Job) Chains(runTime func(modeller.Millis) modeller.Millis) []modeller.Millis {
+	chains := make([]modeller.Millis, len(job.Steps))
 	for at := len(job.Steps) - 1; at >= 0; at-- {
-		job.chains[at] += job.Steps[at].RunTime
+		chains[at] += runTime(job.Steps[at].RunTime)
 		for _, before := range job.Steps[at].After {
-			job.chains[before] = max(job.chains[before], job.chains[at])
+			chains[before] = max(chains[before], chains[at])
 		}
 	}
+	return chains
 }
-
-// Chain returns the run times of the longest chain that begins with a step.
-func (job *Job) Chain(step uint32) modeller.Millis { return job.chains[step] }
-
-// LongestChain returns the run times of the job's longest chain.
-func (job *Job) LongestChain() modeller.Millis { return slices.Max(job.chains) }
