--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -44,6 +44,16 @@
 	// Kept is where a gang is to be placed if the answer allows it. The room is
 	// kept from all other steps until the gang was looked at again.
 	Kept []modeller.WorkerName
+	// Reserved is where the room that will be free first is kept for a gang, which
+	// is looked at again when that is free, or at RestUntil.
+	Reserved  []modeller.WorkerName
+	RestUntil modeller.Millis
+}
+
+// Answered notes that the question under way was answered or came to nothing, so
+// that the step is looked at anew.
+func (approval *Approval) Answered() {
+	approval.Asking, approval.Reserved, approval.RestUntil = false, nil, 0
 }
 
 // Ticket is leave to run a step on a worker.
@@ -90,6 +100,14 @@
 	kept map[modeller.WorkerName]modeller.Resources
 	// lateKept is true once room is kept for a gang that is late.
 	lateKept bool
+	scratch  scratch
+}
+
+// scratch holds slices that one step after the other uses.
+type scratch struct {
+	options                  []*Candidate
+	ticketed, known, unknown []*Candidate
+	ranks                    []int64
 }
 
 // New returns an allotter for one pass.
@@ -127,9 +145,12 @@
 		return &summary.NoRoom
 	}
 	approval := allotter.config.Approval(step.id)
-	if len(approval.Kept) > 0 && approval.Asking {
+	if approval.Asking && (len(approval.Kept) > 0 || len(approval.Tickets) == 0) {
 		return &summary.Asking
 	}
+	if step.step.Gang && allotter.rests(step, approval) {
+		return &summary.NoRoom
+	}
 	allotter.unkeep(step, approval.Kept)
 	approval.Kept = nil
 	ticketed, known, unknown := allotter.split(approval, allotter.options(step))
@@ -140,7 +161,12 @@
 	if allotter.ask(step, approval, append(ticketed, known...), unknown) {
 		return &summary.Asking
 	}
-	if step.step.Gang && allotter.prepare(step, approval) {
+	if !step.step.Gang {
+		return &summary.NoRoom
+	}
+	asking := allotter.prepare(step, approval)
+	approval.RestUntil = allotter.config.Elapsed + restFor
+	if asking {
 		return &summary.Asking
 	}
 	return &summary.NoRoom
--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -27,7 +27,7 @@
 
 // newLoad has workers of 8 cores and two queues: swap is urgent and short, draw
 // is for long gangs. Advised queues need an adviser's leave.
-func newLoad(t *testing.T, workers int, advised bool) *load {
+func newLoad(t testing.TB, workers int, advised bool) *load {
 	c := qt.New(t)
 	load := &load{c: c, state: stager.New(), approvals: make(map[stager.StepID]*allotter.Approval), now: 1000}
 	made := &stager.Deployment{
@@ -104,7 +104,7 @@
 // answer approves of the workers asked about for which approved holds.
 func (load *load) answer(question allotter.Question, approved func(modeller.WorkerName) bool) {
 	known := load.approval(question.Step)
-	known.Asking = false
+	known.Answered()
 	for _, name := range question.Workers {
 		if approved(name) {
 			known.Tickets[name] = allotter.Ticket{Ticket: "t", Life: 1, Until: load.now + 1000}
--- a/allotter/ask.go
+++ b/allotter/ask.go
@@ -8,8 +8,11 @@
 )
 
 // split tells apart the workers with a ticket, those that were approved but
-// whose ticket has lapsed, and those that were never asked about.
-func (allotter *Allotter) split(approval *Approval, options []Candidate) (ticketed, known, unknown []Candidate) {
+// whose ticket has lapsed, and those that were never asked about. The slices are
+// used again for the next step.
+func (allotter *Allotter) split(approval *Approval, options []*Candidate) (ticketed, known, unknown []*Candidate) {
+	scratch := &allotter.scratch
+	ticketed, known, unknown = scratch.ticketed[:0], scratch.known[:0], scratch.unknown[:0]
 	for _, option := range options {
 		worker := option.Worker
 		ticket, approved := approval.Tickets[worker.Name]
@@ -22,6 +25,7 @@
 			unknown = append(unknown, option)
 		}
 	}
+	scratch.ticketed, scratch.known, scratch.unknown = ticketed, known, unknown
 	return ticketed, known, unknown
 }
 
@@ -50,7 +54,7 @@
 // ask asks about the workers that the step would be placed on if its tickets
 // held, and about new ones if those do not suffice. The room is kept from less
 // urgent steps meanwhile. It returns whether an answer is waited for.
-func (allotter *Allotter) ask(step *waiting, approval *Approval, approved, unknown []Candidate) bool {
+func (allotter *Allotter) ask(step *waiting, approval *Approval, approved, unknown []*Candidate) bool {
 	wanted := allotter.assign(step, approved)
 	missing := len(step.tasks) - len(wanted.Tasks)
 	if missing > 0 {
@@ -96,7 +100,7 @@
 	return found
 }
 
-func names(candidates []Candidate, most int) []modeller.WorkerName {
+func names(candidates []*Candidate, most int) []modeller.WorkerName {
 	var found []modeller.WorkerName
 	for _, candidate := range candidates[:min(most, len(candidates))] {
 		found = append(found, candidate.Worker.Name)
--- a/allotter/gang.go
+++ b/allotter/gang.go
@@ -51,6 +51,36 @@
 	return true
 }
 
+// restFor is how long, in milliseconds, a gang that found no room is not looked at
+// again unless its room is free: a few short tasks end meanwhile.
+const restFor = 100
+
+// rests reports whether nothing is to be done for a gang now. Its room stays kept.
+func (allotter *Allotter) rests(step *waiting, approval *Approval) bool {
+	if allotter.config.Elapsed >= approval.RestUntil {
+		approval.Reserved = nil
+		return false
+	}
+	if len(approval.Reserved) > 0 {
+		allotter.keep(step, approval.Reserved)
+		allotter.lateKept = allotter.lateKept || step.urgency > 0
+		if allotter.free(approval.Reserved) {
+			allotter.unkeep(step, approval.Reserved)
+			approval.Reserved = nil
+			return false
+		}
+	}
+	return true
+}
+
+// free reports whether no more is kept on the workers than they have left.
+func (allotter *Allotter) free(workers []modeller.WorkerName) bool {
+	return !slices.ContainsFunc(workers, func(name modeller.WorkerName) bool {
+		worker := allotter.config.State.Workers[name]
+		return worker == nil || !(modeller.Resources{}).Fits(allotter.left(worker))
+	})
+}
+
 const (
 	// roomTimes is how many times the room of a gang its approved workers should
 	// have between them, so that it need not wait for one certain worker.
@@ -73,6 +103,7 @@
 		return false
 	}
 	kept, at := allotter.reserve(step, approved)
+	approval.Reserved = kept
 	if approval.Asking {
 		return true
 	}
@@ -98,7 +129,7 @@
 
 // roomier reports whether a gang would probably fit now if more workers were asked
 // about.
-func (allotter *Allotter) roomier(step *waiting, approval *Approval, approved, unknown []Candidate) bool {
+func (allotter *Allotter) roomier(step *waiting, approval *Approval, approved, unknown []*Candidate) bool {
 	part := approvedPart
 	if all := len(approval.Tickets) + len(approval.Refused); all > 0 {
 		part = float64(len(approval.Tickets)) / float64(all)
@@ -108,8 +139,8 @@
 }
 
 // fitting returns the options that have room for a task now.
-func (allotter *Allotter) fitting(step *waiting, options []Candidate) []Candidate {
-	var found []Candidate
+func (allotter *Allotter) fitting(step *waiting, options []*Candidate) []*Candidate {
+	var found []*Candidate
 	for _, option := range options {
 		if step.step.Held().Fits(allotter.left(option.Worker)) {
 			found = append(found, option)
@@ -119,7 +150,7 @@
 }
 
 // slots counts the tasks of a step that workers could hold if they were empty.
-func (step *waiting) slots(workers []Candidate) int {
+func (step *waiting) slots(workers []*Candidate) int {
 	count := 0
 	for _, candidate := range workers {
 		left := candidate.Worker.Capacity
@@ -147,7 +178,7 @@
 // only the first is given room this way, which bounds how long they starve and
 // what lies idle for them. It returns where the room is kept, and when all of it
 // will be free.
-func (allotter *Allotter) reserve(step *waiting, workers []Candidate) ([]modeller.WorkerName, modeller.Millis) {
+func (allotter *Allotter) reserve(step *waiting, workers []*Candidate) ([]modeller.WorkerName, modeller.Millis) {
 	if !step.step.Gang || step.urgency > 0 && allotter.lateKept {
 		return nil, 0
 	}
@@ -170,7 +201,7 @@
 }
 
 // appendSlots appends when a worker will have room for each of a step's tasks.
-func (allotter *Allotter) appendSlots(slots []slot, step *waiting, candidate Candidate) []slot {
+func (allotter *Allotter) appendSlots(slots []slot, step *waiting, candidate *Candidate) []slot {
 	if allotter.config.Endings == nil {
 		return slots
 	}
--- a/allotter/order.go
+++ b/allotter/order.go
@@ -19,6 +19,8 @@
 	id    stager.StepID
 	step  *stager.Step
 	tasks []uint32
+	// attempt is the next one of a gang, zero while it is not worked out.
+	attempt modeller.Attempt
 	// urgency is 0 while the job can be on time, 1 if it is late and 2 if
 	// nobody waits for it any more.
 	urgency int
--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -61,7 +61,7 @@
 	if known == nil {
 		return
 	}
-	known.Asking = false
+	known.Answered()
 	conductor.dirty = true
 	now := conductor.config.Clock()
 	if advice.Failed {
@@ -96,7 +96,7 @@
 func (conductor *Conductor) expireInquiries() {
 	for _, step := range conductor.config.Lost() {
 		if known := conductor.approvals[step]; known != nil && known.Asking {
-			known.Asking = false
+			known.Answered()
 			logger.Warn(conductor.config.Logger, "advice did not come", "Step", step.String(), "AskedMillisAgo", (conductor.config.Clock() - known.asked).Milliseconds())
 		}
 	}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -90,7 +90,11 @@
 	inFlight int
 	failed   error
 
-	links     map[modeller.WorkerName]*link
+	links map[modeller.WorkerName]*link
+	// ordered holds the links in the order of their names, and offered is the
+	// space for the candidates of a pass.
+	ordered   []*link
+	offered   []allotter.Candidate
 	approvals map[stager.StepID]*approval
 	// trends tell how long tasks of a queue take.
 	trends map[modeller.QueueName]*estimator.Trend
--- a/conductor/link.go
+++ b/conductor/link.go
@@ -1,7 +1,9 @@
 package conductor
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/dotterelrill/dotterelrill/coder"
@@ -85,9 +87,24 @@
 func (conductor *Conductor) connect(worker *stager.Worker) *link {
 	made := &link{name: worker.Name, life: worker.Life, address: worker.Address, heard: conductor.config.Clock(), silent: true, attempts: make(map[stager.TaskID]*attempt)}
 	conductor.links[worker.Name] = made
+	at, _ := conductor.place(worker.Name)
+	conductor.ordered = slices.Insert(conductor.ordered, at, made)
 	return made
 }
 
+// disconnect forgets a life of a worker.
+func (conductor *Conductor) disconnect(link *link) {
+	delete(conductor.links, link.name)
+	if at, found := conductor.place(link.name); found {
+		conductor.ordered = slices.Delete(conductor.ordered, at, at+1)
+	}
+}
+
+// place returns where a worker's link is in the order of the names, or belongs.
+func (conductor *Conductor) place(name modeller.WorkerName) (int, bool) {
+	return slices.BinarySearchFunc(conductor.ordered, name, func(link *link, name modeller.WorkerName) int { return cmp.Compare(link.name, name) })
+}
+
 func (link *link) target() Target {
 	return Target{Worker: link.name, Life: link.life, Address: link.address}
 }
@@ -222,7 +239,7 @@
 		conductor.endAttempt(ctx, link, attempt, stager.Losing, attempt.saved)
 	}
 	conductor.try(&stager.Command{Drop: &stager.Drop{Worker: link.name, Life: link.life}}, "drop a worker")
-	delete(conductor.links, link.name)
+	conductor.disconnect(link)
 	conductor.dirty = true
 }
 
--- a/conductor/plan.go
+++ b/conductor/plan.go
@@ -1,9 +1,7 @@
 package conductor
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
 	"github.com/dotterelrill/dotterelrill/allotter"
@@ -65,16 +63,17 @@
 		"FreeMilliProcessors", free.MilliProcessors, "FreeMemoryMiB", free.MemoryMiB, "BatchesInFlight", conductor.inFlight)
 }
 
-// candidates returns the workers that may get work now, in a stable order.
+// candidates returns the workers that may get work now, in the order of their
+// names. The slice is used again for the next call.
 func (conductor *Conductor) candidates() []allotter.Candidate {
 	now := conductor.config.Clock()
-	made := make([]allotter.Candidate, 0, len(conductor.links))
-	for name, link := range conductor.links {
-		worker := conductor.state.Workers[name]
+	made := conductor.offered[:0]
+	for _, link := range conductor.ordered {
+		worker := conductor.state.Workers[link.name]
 		if worker != nil && !worker.Leaving && conductor.usable(link, now) {
 			made = append(made, allotter.Candidate{Worker: worker, Doubt: link.streak, Pace: link.pace.Factor()})
 		}
 	}
-	slices.SortFunc(made, func(left, right allotter.Candidate) int { return cmp.Compare(left.Worker.Name, right.Worker.Name) })
+	conductor.offered = made
 	return made
 }
