--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -156,7 +156,7 @@
 	patience := startPatience * time.Duration(attempt.starts)
 	target := link.target()
 	go func() {
-		callCtx, cancel := context.WithTimeout(ctx, patience)
+		callCtx, cancel := context.WithTimeout(link.calls, patience)
 		defer cancel()
 		answer := conductor.config.Start(callCtx, target, order)
 		conductor.post(func() { conductor.startAnswered(ctx, link, attempt, answer) })
@@ -236,7 +236,7 @@
 	order := &StopOrder{Task: attempt.id, Attempt: attempt.number, Fence: conductor.state.Term}
 	target := link.target()
 	go func() {
-		answer := conductor.config.Stop(ctx, target, order)
+		answer := conductor.config.Stop(link.calls, target, order)
 		conductor.post(func() { conductor.stopAnswered(ctx, link, attempt, answer) })
 	}()
 }
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -42,6 +43,10 @@
 	lead    bool
 	// percent is how far all that a worker runs is.
 	percent map[modeller.WorkerName]int
+	// blocked is closed by the next start, which waits for its context; cancelled
+	// is true if that was called back.
+	blocked   chan struct{}
+	cancelled bool
 	// lostHolds is how many of the next holds that wait get no answer.
 	lostHolds int
 	// last is closed once the batch before is decided.
@@ -123,8 +128,18 @@
 	}, nil
 }
 
-func (fleet *fleet) start(_ context.Context, target conductor.Target, order *conductor.StartOrder) conductor.Answer {
+func (fleet *fleet) start(ctx context.Context, target conductor.Target, order *conductor.StartOrder) conductor.Answer {
 	fleet.mutex.Lock()
+	if blocked := fleet.blocked; blocked != nil {
+		fleet.blocked = nil
+		fleet.mutex.Unlock()
+		close(blocked)
+		<-ctx.Done()
+		fleet.mutex.Lock()
+		defer fleet.mutex.Unlock()
+		fleet.cancelled = errors.Is(ctx.Err(), context.Canceled)
+		return conductor.Answer{Outcome: conductor.Unanswered}
+	}
 	defer fleet.mutex.Unlock()
 	fleet.starts = append(fleet.starts, order.Task.String())
 	if fleet.onStart != nil {
@@ -192,9 +207,11 @@
 // clock is every worker's.
 func clock() modeller.Millis { return modeller.Millis(time.Now().UnixMilli()) }
 
-func (fleet *fleet) announce(name string, cores int64) {
+func (fleet *fleet) announce(name string, cores int64) { fleet.announceLife(name, cores, 1) }
+
+func (fleet *fleet) announceLife(name string, cores int64, life stager.Life) {
 	worker := stager.Worker{
-		Name: modeller.WorkerName(name), Life: 1, Pool: "p", Address: name,
+		Name: modeller.WorkerName(name), Life: life, Pool: "p", Address: name,
 		Capacity: modeller.Resources{MilliProcessors: 1000 * cores, MemoryMiB: 1000},
 	}
 	refusal := fleet.conductor.Announce(context.Background(), &stager.Announcement{Worker: worker, Clock: clock(), Number: 1})
@@ -543,3 +560,22 @@
 	fleet.c.Check(slices.Contains(fleet.stops, "j.0.0.0"), qt.IsTrue)
 	fleet.c.Check(slices.ContainsFunc(fleet.stops, func(task string) bool { return task != "j.0.0.0" }), qt.IsFalse, qt.Commentf("%v", fleet.stops))
 }
+
+// TestANewLifeRefusesWhatWasMeantForTheOldOne has a worker crash and come back
+// under its name while a start is on its way to it: the new life would take it.
+func TestANewLifeRefusesWhatWasMeantForTheOldOne(t *testing.T) {
+	fleet := newFleet(t, nil)
+	fleet.announce("w1", 4)
+	under := make(chan struct{})
+	fleet.mutex.Lock()
+	fleet.blocked = under
+	fleet.mutex.Unlock()
+	fleet.submit("j", core(1))
+	<-under
+	fleet.announceLife("w1", 4, 2)
+	fleet.await("the stop", func() bool { return len(fleet.stops) > 0 })
+	fleet.await("the task in the new life", func() bool { return fleet.running["w1"]["j.0.0.0"].Attempt == 2 })
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.c.Check(fleet.cancelled, qt.IsTrue, qt.Commentf("the start was not called back"))
+}
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -45,7 +45,7 @@
 	link.holding = true
 	target := link.target()
 	go func() {
-		callCtx, cancel := context.WithTimeout(ctx, order.Wait+holdPatience)
+		callCtx, cancel := context.WithTimeout(link.calls, order.Wait+holdPatience)
 		defer cancel()
 		holding := conductor.config.Hold(callCtx, target, order)
 		conductor.post(func() { conductor.held(ctx, link, order, now, holding) })
@@ -166,7 +166,7 @@
 	logger.Warn(conductor.config.Logger, "stray task stopped", "Task", said.Task.String(), "Attempt", said.Attempt, "Worker", link.name)
 	order := &StopOrder{Task: said.Task, Attempt: said.Attempt, Fence: conductor.state.Term}
 	target := link.target()
-	go func() { conductor.config.Stop(ctx, target, order) }()
+	go func() { conductor.config.Stop(link.calls, target, order) }()
 }
 
 // takeEnded records the endings. The worker is told that it may forget them
--- a/conductor/link.go
+++ b/conductor/link.go
@@ -15,6 +15,10 @@
 
 // link is what the conductor keeps of one life of a worker.
 type link struct {
+	// calls ends with the life, so that nothing is sent for it to the next one,
+	// which may have the same name and address.
+	calls   context.Context
+	end     context.CancelFunc
 	name    modeller.WorkerName
 	life    stager.Life
 	address string
@@ -69,7 +73,7 @@
 // of the attempts is asked of the workers.
 func (conductor *Conductor) adopt(ctx context.Context) {
 	for name, worker := range conductor.state.Workers {
-		link := conductor.connect(worker)
+		link := conductor.connect(ctx, worker)
 		link.unheard = true
 		for _, id := range conductor.state.LiveOn(name) {
 			job := conductor.state.Jobs[id.Job]
@@ -84,8 +88,9 @@
 	}
 }
 
-func (conductor *Conductor) connect(worker *stager.Worker) *link {
-	made := &link{name: worker.Name, life: worker.Life, address: worker.Address, heard: conductor.config.Clock(), silent: true, attempts: make(map[stager.TaskID]*attempt)}
+func (conductor *Conductor) connect(ctx context.Context, worker *stager.Worker) *link {
+	calls, end := context.WithCancel(ctx)
+	made := &link{calls: calls, end: end, name: worker.Name, life: worker.Life, address: worker.Address, heard: conductor.config.Clock(), silent: true, attempts: make(map[stager.TaskID]*attempt)}
 	conductor.links[worker.Name] = made
 	at, _ := conductor.place(worker.Name)
 	conductor.ordered = slices.Insert(conductor.ordered, at, made)
@@ -94,6 +99,7 @@
 
 // disconnect forgets a life of a worker.
 func (conductor *Conductor) disconnect(link *link) {
+	link.end()
 	delete(conductor.links, link.name)
 	if at, found := conductor.place(link.name); found {
 		conductor.ordered = slices.Delete(conductor.ordered, at, at+1)
@@ -132,7 +138,7 @@
 			"Rack", worker.Rack, "Leaving", worker.Leaving, "RemainingMillis", int64(announcement.Remaining))
 	}
 	if known == nil {
-		known = conductor.connect(&worker)
+		known = conductor.connect(ctx, &worker)
 	}
 	known.number = announcement.Number
 	known.address = worker.Address
@@ -235,7 +241,11 @@
 func (conductor *Conductor) bury(ctx context.Context, link *link, why string) {
 	logger.Warn(conductor.config.Logger, "worker lost", "Worker", link.name, "Life", int64(link.life), "Reason", why, "Live", len(link.attempts),
 		"HeardMillisAgo", (conductor.config.Clock() - link.heard).Milliseconds())
+	link.end()
 	for _, attempt := range link.attempts {
+		if attempt.unsure || attempt.calling {
+			conductor.forestall(ctx, link, attempt)
+		}
 		conductor.endAttempt(ctx, link, attempt, stager.Losing, attempt.saved)
 	}
 	conductor.try(&stager.Command{Drop: &stager.Drop{Worker: link.name, Life: link.life}}, "drop a worker")
@@ -243,6 +253,15 @@
 	conductor.dirty = true
 }
 
+// forestall has whoever is at a lost worker's address refuse an attempt whose
+// start may still be on its way: a new life there knows nothing of the old one, and
+// its clock begins anew, so that the start's lease would hold.
+func (conductor *Conductor) forestall(ctx context.Context, link *link, attempt *attempt) {
+	order := &StopOrder{Task: attempt.id, Attempt: attempt.number, Fence: conductor.state.Term}
+	target := link.target()
+	go func() { conductor.config.Stop(ctx, target, order) }()
+}
+
 // try does a command that the state should take, and tells if it does not.
 func (conductor *Conductor) try(command *stager.Command, what string) bool {
 	if err := conductor.do(command); err != nil {
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -85,9 +85,14 @@
 	err     error
 }
 
+// New returns a fleet without processes.
+func New(config Config) *Fleet {
+	return &Fleet{config: config, OperatorKey: keyer.Make(), metrics: make(map[*Process]string)}
+}
+
 // Start writes the settings and starts all processes.
 func Start(config Config) (*Fleet, error) {
-	fleet := &Fleet{config: config, OperatorKey: keyer.Make(), metrics: make(map[*Process]string)}
+	fleet := New(config)
 	var err error
 	if fleet.CellAddress, err = FreeAddresses(config.Cells + config.Absent); err != nil {
 		return nil, err
@@ -131,14 +136,14 @@
 	if err != nil {
 		return nil, err
 	}
-	listen, err := fleet.reach(name, address)
+	listen, err := fleet.Reach(name, address)
 	if err != nil {
 		return nil, err
 	}
 	folder := filepath.Join(fleet.config.Folder, name)
 	text := fmt.Sprintf("[Cell]\nName = demo\nAddress = %s\nListenAddress = %s\nBootstrap = %s\nDataFolder = %s\nMetricsAddress = %s\n%s",
 		address, listen, strings.Join(fleet.CellAddress, ", "), folder, addresses[0], fleet.config.CellSettings)
-	process, err := fleet.start("dotterel-cell", name, text)
+	process, err := fleet.StartProgram("dotterel-cell", name, text)
 	if err == nil {
 		process.Folder = folder
 		fleet.metrics[process] = addresses[0]
@@ -152,13 +157,13 @@
 		return nil, err
 	}
 	name := fmt.Sprintf("entry%d", at+1)
-	listen, err := fleet.reach(name, fleet.EntryAddress[at])
+	listen, err := fleet.Reach(name, fleet.EntryAddress[at])
 	if err != nil {
 		return nil, err
 	}
 	text := fmt.Sprintf("[Cell]\nName = demo\nAddresses = %s\n[Entry]\nName = %s\nDataCentre = dc%d\nAddress = %s\nMetricsAddress = %s\nOperatorKeys = demo:%s\n%s",
 		strings.Join(fleet.CellAddress, ", "), name, at+1, listen, addresses[0], keyer.Hash(fleet.OperatorKey), fleet.config.EntrySettings)
-	process, err := fleet.start("dotterel-entry", name, text)
+	process, err := fleet.StartProgram("dotterel-entry", name, text)
 	if err == nil {
 		fleet.metrics[process] = addresses[0]
 	}
@@ -171,7 +176,7 @@
 	if err != nil {
 		return nil, err
 	}
-	listen, err := fleet.reach(worker.Name, addresses[0])
+	listen, err := fleet.Reach(worker.Name, addresses[0])
 	if err != nil {
 		return nil, err
 	}
@@ -181,7 +186,7 @@
 	if worker.Faults != "" {
 		text += "[Faults]\n" + worker.Faults
 	}
-	process, err := fleet.start("dotterel-standin", worker.Name, text)
+	process, err := fleet.StartProgram("dotterel-standin", worker.Name, text)
 	if err == nil {
 		fleet.Workers = append(fleet.Workers, process)
 	}
@@ -193,7 +198,9 @@
 	return filepath.Join(fleet.config.Folder, name+".record")
 }
 
-func (fleet *Fleet) start(program, name, settings string) (*Process, error) {
+// StartProgram starts a program with settings of its own. Who uses it adds the
+// process to the fleet's, which Kill ends.
+func (fleet *Fleet) StartProgram(program, name, settings string) (*Process, error) {
 	if err := os.MkdirAll(fleet.config.Folder, 0o700); err != nil {
 		return nil, eris.Wrap(err, "make the fleet's folder")
 	}
@@ -216,7 +223,7 @@
 	}
 	defer func() { _ = lines.Close() }()
 	process.command = exec.CommandContext(context.Background(), process.path, "-config", process.config)
-	process.command.Stderr = lines
+	process.command.Stdout, process.command.Stderr = lines, lines
 	process.done = make(chan struct{})
 	if err := process.command.Start(); err != nil {
 		return eris.Wrapf(err, "start %s", process.Name)
@@ -237,6 +244,9 @@
 // PID returns the number that the kernel knows the process by.
 func (process *Process) PID() int { return process.command.Process.Pid }
 
+// Settings returns where the process's settings are.
+func (process *Process) Settings() string { return process.config }
+
 // LogFile returns where the process's log lines go.
 func (process *Process) LogFile() string { return strings.TrimSuffix(process.config, ".ini") + ".log" }
 
--- a/internal/launcher/source.go
+++ b/internal/launcher/source.go
@@ -14,9 +14,9 @@
 // Outside is the name of whoever is no process of the fleet.
 const Outside forwarder.Name = "outside"
 
-// reach returns where the process of that name has to listen so that others
+// Reach returns where the process of that name has to listen so that others
 // reach it at the address: there itself, or behind a forwarder.
-func (fleet *Fleet) reach(name, address string) (string, error) {
+func (fleet *Fleet) Reach(name, address string) (string, error) {
 	if fleet.config.Network == nil {
 		return address, nil
 	}
@@ -24,18 +24,23 @@
 	if err != nil {
 		return "", err
 	}
+	return listen[0], fleet.Forward(name, address, listen[0])
+}
+
+// Forward lets others reach the process of that name at an address, through the
+// network, while it listens at another.
+func (fleet *Fleet) Forward(name, address, listen string) error {
 	started, err := forwarder.Start(forwarder.Config{
 		Network: fleet.config.Network,
 		Listen:  address,
-		Target:  listen[0],
+		Target:  listen,
 		To:      forwarder.Name(name),
 		Source:  fleet.source,
 	})
-	if err != nil {
-		return "", err
+	if err == nil {
+		fleet.forwarders = append(fleet.forwarders, started)
 	}
-	fleet.forwarders = append(fleet.forwarders, started)
-	return listen[0], nil
+	return err
 }
 
 // source finds out which process made a connection, from the kernel's table of
@@ -85,13 +90,14 @@
 	return ""
 }
 
-// tableAddress spells an address on loopback as the table does.
+// tableAddress spells an IPv4 address as the table does, last byte first.
 func tableAddress(address net.Addr) string {
-	port := 0
-	if tcp, ok := address.(*net.TCPAddr); ok {
-		port = tcp.Port
+	tcp, ok := address.(*net.TCPAddr)
+	if !ok || tcp.IP.To4() == nil {
+		return ""
 	}
-	return fmt.Sprintf("0100007F:%04X", port)
+	ip := tcp.IP.To4()
+	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], tcp.Port)
 }
 
 func holdsSocket(pid int64, inode string) bool {
