Calls of the conductor end with it, not with the request that brought them about

The same fault stood before for single calls: stops of a cancelled job ended with the caller's DELETE, holds with the heartbeat.

Run's context is kept for all calls, and the parameter is gone. The tests' heartbeats and submissions now end their contexts, and their workers take no call whose context is over.

--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -101,7 +101,7 @@
 
 // launch makes the attempts of a placement that the state has taken, and sends
 // their starts once it is committed.
-func (conductor *Conductor) launch(ctx context.Context, place *stager.Place) {
+func (conductor *Conductor) launch(place *stager.Place) {
 	all := make([]live, len(place.Tasks))
 	for at := range place.Tasks {
 		task := &place.Tasks[at]
@@ -119,29 +119,29 @@
 		for _, each := range all {
 			if each.link.attempts[each.attempt.id] == each.attempt {
 				each.attempt.state = committed
-				conductor.pursue(ctx, each.link, each.attempt)
+				conductor.pursue(each.link, each.attempt)
 			}
 		}
 	})
 }
 
 // pursue sends what an attempt needs now.
-func (conductor *Conductor) pursue(ctx context.Context, link *link, attempt *attempt) {
+func (conductor *Conductor) pursue(link *link, attempt *attempt) {
 	now := conductor.config.Clock()
 	if attempt.calling || attempt.adopted || now < attempt.callAt {
 		return
 	}
 	switch {
 	case attempt.stopping && attempt.state <= committed:
-		conductor.endAttempt(ctx, link, attempt, stager.Refusing, "")
+		conductor.endAttempt(link, attempt, stager.Refusing, "")
 	case attempt.stopping && attempt.stopped == 0:
-		conductor.sendStop(ctx, link, attempt)
+		conductor.sendStop(link, attempt)
 	case !attempt.stopping && (attempt.state == committed || attempt.state == sent):
-		conductor.sendStart(ctx, link, attempt)
+		conductor.sendStart(link, attempt)
 	}
 }
 
-func (conductor *Conductor) sendStart(ctx context.Context, link *link, attempt *attempt) {
+func (conductor *Conductor) sendStart(link *link, attempt *attempt) {
 	expires := conductor.leaseEnd(link)
 	if expires == 0 {
 		return
@@ -159,11 +159,11 @@
 		callCtx, cancel := context.WithTimeout(link.calls, patience)
 		defer cancel()
 		answer := conductor.config.Start(callCtx, target, order)
-		conductor.post(func() { conductor.startAnswered(ctx, link, attempt, answer) })
+		conductor.post(func() { conductor.startAnswered(link, attempt, answer) })
 	}()
 }
 
-func (conductor *Conductor) startAnswered(ctx context.Context, link *link, attempt *attempt, answer Answer) {
+func (conductor *Conductor) startAnswered(link *link, attempt *attempt, answer Answer) {
 	attempt.calling = false
 	conductor.measures.called("start", answer)
 	if conductor.links[link.name] != link || link.attempts[attempt.id] != attempt {
@@ -182,27 +182,27 @@
 		if attempt.placedAt != 0 {
 			conductor.measures.start.Update((now - attempt.placedAt).Seconds())
 		}
-		conductor.hold(ctx, link)
-		conductor.pursue(ctx, link, attempt)
+		conductor.hold(link)
+		conductor.pursue(link, attempt)
 	case Rejected:
-		conductor.startRejected(ctx, link, attempt, answer)
+		conductor.startRejected(link, attempt, answer)
 	case Unanswered:
 		attempt.unsure = true
 		conductor.silence(link, "start", answer)
 		conductor.doubt(link, "a start was not answered")
 		if attempt.starts >= mostStarts {
-			conductor.stop(ctx, link, attempt, "its start was not answered")
+			conductor.stop(link, attempt, "its start was not answered")
 		} else {
-			conductor.pursue(ctx, link, attempt)
+			conductor.pursue(link, attempt)
 		}
 	case Replaced:
-		conductor.bury(ctx, link, "another life answers at its address")
+		conductor.bury(link, "another life answers at its address")
 	}
 }
 
 // startRejected deals with a start that did nothing. If an earlier one was not
 // answered, that one may still be carried out, so the attempt is stopped.
-func (conductor *Conductor) startRejected(ctx context.Context, link *link, attempt *attempt, answer Answer) {
+func (conductor *Conductor) startRejected(link *link, attempt *attempt, answer Answer) {
 	logger.Warn(conductor.config.Logger, "start rejected", "Task", attempt.id.String(), "Attempt", attempt.number, "Worker", link.name,
 		"Reason", answer.Reason.String(), "Detail", answer.Detail, "Unsure", attempt.unsure)
 	switch answer.Reason {
@@ -214,34 +214,34 @@
 		conductor.doubt(link, "it rejected a start")
 	}
 	if attempt.unsure || answer.Reason == OldAttempt {
-		conductor.stop(ctx, link, attempt, "its start was rejected")
+		conductor.stop(link, attempt, "its start was rejected")
 		return
 	}
-	conductor.endAttempt(ctx, link, attempt, stager.Refusing, "")
+	conductor.endAttempt(link, attempt, stager.Refusing, "")
 }
 
 // stop wants an attempt to end, and sees to it until it is known to have.
-func (conductor *Conductor) stop(ctx context.Context, link *link, attempt *attempt, why string) {
+func (conductor *Conductor) stop(link *link, attempt *attempt, why string) {
 	if attempt.stopping {
 		return
 	}
 	attempt.stopping = true
 	attempt.callAt = 0
 	logger.Info(conductor.config.Logger, "task stopped", "Task", attempt.id.String(), "Attempt", attempt.number, "Worker", link.name, "Reason", why)
-	conductor.pursue(ctx, link, attempt)
+	conductor.pursue(link, attempt)
 }
 
-func (conductor *Conductor) sendStop(ctx context.Context, link *link, attempt *attempt) {
+func (conductor *Conductor) sendStop(link *link, attempt *attempt) {
 	attempt.calling = true
 	order := &StopOrder{Task: attempt.id, Attempt: attempt.number, Fence: conductor.state.Term}
 	target := link.target()
 	go func() {
 		answer := conductor.config.Stop(link.calls, target, order)
-		conductor.post(func() { conductor.stopAnswered(ctx, link, attempt, answer) })
+		conductor.post(func() { conductor.stopAnswered(link, attempt, answer) })
 	}()
 }
 
-func (conductor *Conductor) stopAnswered(ctx context.Context, link *link, attempt *attempt, answer Answer) {
+func (conductor *Conductor) stopAnswered(link *link, attempt *attempt, answer Answer) {
 	attempt.calling = false
 	conductor.measures.called("stop", answer)
 	if conductor.links[link.name] != link || link.attempts[attempt.id] != attempt {
@@ -251,9 +251,9 @@
 	case Obeyed:
 		conductor.answered(link, answer.Clock)
 		attempt.stopped = conductor.config.Clock()
-		conductor.hold(ctx, link)
+		conductor.hold(link)
 	case Replaced:
-		conductor.bury(ctx, link, "another life answers at its address")
+		conductor.bury(link, "another life answers at its address")
 	case Unanswered:
 		conductor.silence(link, "stop", answer)
 		attempt.callAt = conductor.config.Clock() + retryPause
@@ -264,7 +264,7 @@
 
 // endAttempt records that an attempt holds its worker's room no more, and what
 // follows for the rest of its gang and its job.
-func (conductor *Conductor) endAttempt(ctx context.Context, link *link, ended *attempt, how stager.Ending, saved stager.Checkpoint) {
+func (conductor *Conductor) endAttempt(link *link, ended *attempt, how stager.Ending, saved stager.Checkpoint) {
 	delete(link.attempts, ended.id)
 	job := conductor.state.Jobs[ended.id.Job]
 	if job == nil || job.Task(ended.id) == nil {
@@ -288,9 +288,9 @@
 			conductor.measures.jobEnded(job)
 			logger.Info(conductor.config.Logger, "job ended", "Job", job.ID, "Status", job.Status().String(), "TookMillis", int64(job.Ended-job.Accepted))
 		}
-		conductor.abandon(ctx, job)
+		conductor.abandon(job)
 	case step.Gang && how != stager.Succeeding:
-		conductor.breakGang(ctx, job, ended)
+		conductor.breakGang(job, ended)
 	}
 }
 
@@ -301,7 +301,7 @@
 }
 
 // abandon stops whatever still runs of a job that is over.
-func (conductor *Conductor) abandon(ctx context.Context, job *stager.Job) {
+func (conductor *Conductor) abandon(job *stager.Job) {
 	if job.Live() == 0 || job.Status() == stager.Completed {
 		return
 	}
@@ -311,7 +311,7 @@
 			running = conductor.appendLive(running, job, stager.StepID{Job: job.ID, Occurrence: occurrence, Step: step})
 		}
 	}
-	conductor.stopAll(ctx, running, "its job is over")
+	conductor.stopAll(running, "its job is over")
 }
 
 // appendLive appends the live attempts of a step.
@@ -331,17 +331,17 @@
 
 // stopAll stops attempts. The end of one may bring about that of others, so each
 // is looked at anew.
-func (conductor *Conductor) stopAll(ctx context.Context, attempts []live, why string) {
+func (conductor *Conductor) stopAll(attempts []live, why string) {
 	for _, each := range attempts {
 		if each.link.attempts[each.attempt.id] == each.attempt {
-			conductor.stop(ctx, each.link, each.attempt, why)
+			conductor.stop(each.link, each.attempt, why)
 		}
 	}
 }
 
 // breakGang stops the others of a gang's attempt after one has ended early.
-func (conductor *Conductor) breakGang(ctx context.Context, job *stager.Job, ended *attempt) {
-	conductor.stopAll(ctx, conductor.appendLive(nil, job, ended.id.StepID), "another task of its gang has ended")
+func (conductor *Conductor) breakGang(job *stager.Job, ended *attempt) {
+	conductor.stopAll(conductor.appendLive(nil, job, ended.id.StepID), "another task of its gang has ended")
 }
 
 // Bounds of how long a worker that fails its work gets nothing.
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -83,6 +83,9 @@
 	mail   chan func()
 	// done is closed when Run has returned.
 	done chan struct{}
+	// calls ends with Run; nothing that a request brings about ends with the
+	// request's own context.
+	calls context.Context
 
 	sequence uint64
 	pending  []stager.Command
@@ -140,8 +143,9 @@
 	defer conductor.fail(ErrReplaced)
 	defer close(conductor.done)
 	defer cancel()
+	conductor.calls = ctx
 	conductor.begun = conductor.config.Clock()
-	conductor.adopt(ctx)
+	conductor.adopt()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for conductor.failed == nil {
@@ -152,10 +156,10 @@
 		case work := <-conductor.mail:
 			work()
 		case <-ticker.C:
-			conductor.tick(ctx)
+			conductor.tick()
 		}
 		conductor.takeMail()
-		conductor.plan(ctx)
+		conductor.plan()
 	}
 	return conductor.failed
 }
@@ -268,9 +272,9 @@
 }
 
 // tick looks after what only time changes.
-func (conductor *Conductor) tick(ctx context.Context) {
+func (conductor *Conductor) tick() {
 	for _, link := range conductor.links {
-		conductor.watch(ctx, link)
+		conductor.watch(link)
 	}
 	conductor.expireInquiries()
 	conductor.report()
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -141,6 +141,9 @@
 		return conductor.Answer{Outcome: conductor.Unanswered}
 	}
 	defer fleet.mutex.Unlock()
+	if ctx.Err() != nil {
+		return conductor.Answer{Outcome: conductor.Unanswered}
+	}
 	fleet.starts = append(fleet.starts, order.Task.String())
 	if fleet.onStart != nil {
 		if answer := fleet.onStart(target, order); answer.Outcome != 0 {
@@ -154,9 +157,13 @@
 	return conductor.Answer{Outcome: conductor.Obeyed, Clock: clock()}
 }
 
-func (fleet *fleet) stop(_ context.Context, target conductor.Target, order *conductor.StopOrder) conductor.Answer {
+func (fleet *fleet) stop(ctx context.Context, target conductor.Target, order *conductor.StopOrder) conductor.Answer {
+	time.Sleep(time.Millisecond)
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
+	if ctx.Err() != nil {
+		return conductor.Answer{Outcome: conductor.Unanswered}
+	}
 	fleet.stops = append(fleet.stops, order.Task.String())
 	fleet.finish(target.Worker, order.Task.String(), stager.Stopping)
 	return conductor.Answer{Outcome: conductor.Obeyed, Clock: clock()}
@@ -186,6 +193,9 @@
 		return conductor.Holding{Answer: conductor.Answer{Outcome: conductor.Unanswered}}
 	}
 	defer fleet.mutex.Unlock()
+	if ctx.Err() != nil {
+		return conductor.Holding{Answer: conductor.Answer{Outcome: conductor.Unanswered}}
+	}
 	if fleet.onHold != nil {
 		if holding := fleet.onHold(target, order); holding != nil {
 			return *holding
@@ -214,12 +224,17 @@
 		Name: modeller.WorkerName(name), Life: life, Pool: "p", Address: name,
 		Capacity: modeller.Resources{MilliProcessors: 1000 * cores, MemoryMiB: 1000},
 	}
-	refusal := fleet.conductor.Announce(context.Background(), &stager.Announcement{Worker: worker, Clock: clock(), Number: 1})
+	// A request's context ends with it.
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	refusal := fleet.conductor.Announce(ctx, &stager.Announcement{Worker: worker, Clock: clock(), Number: 1})
 	fleet.c.Assert(refusal == nil, qt.IsTrue, qt.Commentf("%v", refusal))
 }
 
 func (fleet *fleet) submit(id string, steps ...stager.Step) {
-	refusal := fleet.conductor.Submit(context.Background(), &stager.Submit{ID: stager.JobID(id), ClientAccount: "a", Queue: queue, Steps: steps})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	refusal := fleet.conductor.Submit(ctx, &stager.Submit{ID: stager.JobID(id), ClientAccount: "a", Queue: queue, Steps: steps})
 	fleet.c.Assert(refusal == nil, qt.IsTrue, qt.Commentf("%v", refusal))
 }
 
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -26,7 +26,7 @@
 
 // hold keeps one call open at a worker that runs something, has endings that it
 // may forget, or has yet to answer so that it can be given work.
-func (conductor *Conductor) hold(ctx context.Context, link *link) {
+func (conductor *Conductor) hold(link *link) {
 	now := conductor.config.Clock()
 	if link.holding || now < link.holdAt || len(link.attempts) == 0 && link.told >= link.observed && !link.silent {
 		return
@@ -48,7 +48,7 @@
 		callCtx, cancel := context.WithTimeout(link.calls, order.Wait+holdPatience)
 		defer cancel()
 		holding := conductor.config.Hold(callCtx, target, order)
-		conductor.post(func() { conductor.held(ctx, link, order, now, holding) })
+		conductor.post(func() { conductor.held(link, order, now, holding) })
 	}()
 }
 
@@ -73,14 +73,14 @@
 
 // held takes up what a worker says that it runs. The hold was sent at a time;
 // what the worker acknowledged before that must be in its answer.
-func (conductor *Conductor) held(ctx context.Context, link *link, order *HoldOrder, sentAt time.Duration, holding Holding) {
+func (conductor *Conductor) held(link *link, order *HoldOrder, sentAt time.Duration, holding Holding) {
 	link.holding = false
 	conductor.measures.called("hold", holding.Answer)
 	if conductor.links[link.name] != link {
 		return
 	}
 	if holding.Outcome == Replaced || holding.Outcome == Obeyed && holding.Life != 0 && holding.Life != link.life {
-		conductor.bury(ctx, link, "another life answers at its address")
+		conductor.bury(link, "another life answers at its address")
 		return
 	}
 	if holding.Outcome != Obeyed {
@@ -93,12 +93,12 @@
 	link.misses = 0
 	link.told = max(link.told, order.Observed)
 	conductor.answered(link, holding.Clock)
-	listed := conductor.takeRunning(ctx, link, holding.Running)
-	conductor.takeEnded(ctx, link, listed, holding.Ended)
+	listed := conductor.takeRunning(link, holding.Running)
+	conductor.takeEnded(link, listed, holding.Ended)
 	if len(holding.Ended) < endedMost {
-		conductor.takeMissing(ctx, link, listed, sentAt)
+		conductor.takeMissing(link, listed, sentAt)
 	}
-	conductor.resumeHold(ctx, link)
+	conductor.resumeHold(link)
 }
 
 func (conductor *Conductor) holdMissed(link *link, holding Holding) {
@@ -112,23 +112,23 @@
 
 // resumeHold sends the next hold once what this one brought is committed, so
 // that it can tell the worker to forget it.
-func (conductor *Conductor) resumeHold(ctx context.Context, link *link) {
+func (conductor *Conductor) resumeHold(link *link) {
 	conductor.after(func(err error) {
 		if err == nil && conductor.links[link.name] == link {
-			conductor.hold(ctx, link)
+			conductor.hold(link)
 		}
 	})
 }
 
 // takeRunning takes up the attempts that run, and stops those that should not.
-func (conductor *Conductor) takeRunning(ctx context.Context, link *link, attempts []RunningAttempt) map[stager.TaskID]bool {
+func (conductor *Conductor) takeRunning(link *link, attempts []RunningAttempt) map[stager.TaskID]bool {
 	listed := make(map[stager.TaskID]bool, len(attempts))
 	now := conductor.config.Clock()
 	for at := range attempts {
 		said := &attempts[at]
 		known := link.attempts[said.Task]
 		if known == nil || known.number != said.Attempt {
-			conductor.stopStray(ctx, link, said)
+			conductor.stopStray(link, said)
 			continue
 		}
 		listed[said.Task] = true
@@ -141,15 +141,15 @@
 		known.saved = said.Saved
 		if known.adopted {
 			known.adopted = false
-			conductor.pursue(ctx, link, known)
+			conductor.pursue(link, known)
 		}
-		conductor.checkProgress(ctx, link, known, now)
+		conductor.checkProgress(link, known, now)
 	}
 	return listed
 }
 
 // checkProgress has a task that stands still started elsewhere.
-func (conductor *Conductor) checkProgress(ctx context.Context, link *link, known *attempt, now time.Duration) {
+func (conductor *Conductor) checkProgress(link *link, known *attempt, now time.Duration) {
 	job := conductor.state.Jobs[known.id.Job]
 	if job == nil || job.Over() || !known.stands(&job.Steps[known.id.Step], conductor.config.Terms.GangWait, now) {
 		return
@@ -157,12 +157,12 @@
 	logger.Warn(conductor.config.Logger, "task stands still", "Task", known.id.String(), "Attempt", known.number, "Worker", link.name,
 		"Percent", known.percent, "ForMillis", (now - known.progressed).Milliseconds(), "EstimateMillis", int64(job.Steps[known.id.Step].RunTime))
 	conductor.doubt(link, "a task stands still")
-	conductor.stop(ctx, link, known, "it stands still")
+	conductor.stop(link, known, "it stands still")
 }
 
 // stopStray ends an attempt that the state does not know as live: its start was
 // carried out late, or another leader gave it up.
-func (conductor *Conductor) stopStray(ctx context.Context, link *link, said *RunningAttempt) {
+func (conductor *Conductor) stopStray(link *link, said *RunningAttempt) {
 	logger.Warn(conductor.config.Logger, "stray task stopped", "Task", said.Task.String(), "Attempt", said.Attempt, "Worker", link.name)
 	order := &StopOrder{Task: said.Task, Attempt: said.Attempt, Fence: conductor.state.Term}
 	target := link.target()
@@ -171,7 +171,7 @@
 
 // takeEnded records the endings. The worker is told that it may forget them
 // after that is committed.
-func (conductor *Conductor) takeEnded(ctx context.Context, link *link, listed map[stager.TaskID]bool, ended []EndedAttempt) {
+func (conductor *Conductor) takeEnded(link *link, listed map[stager.TaskID]bool, ended []EndedAttempt) {
 	newest := link.observed
 	for at := range ended {
 		said := &ended[at]
@@ -181,7 +181,7 @@
 			continue
 		}
 		listed[said.Task] = true
-		conductor.endAttempt(ctx, link, known, said.How, said.Saved)
+		conductor.endAttempt(link, known, said.How, said.Saved)
 	}
 	if newest == link.observed {
 		return
@@ -195,17 +195,17 @@
 
 // takeMissing deals with attempts that the worker neither runs nor lists as
 // ended.
-func (conductor *Conductor) takeMissing(ctx context.Context, link *link, listed map[stager.TaskID]bool, sentAt time.Duration) {
+func (conductor *Conductor) takeMissing(link *link, listed map[stager.TaskID]bool, sentAt time.Duration) {
 	for id, known := range link.attempts {
 		switch {
 		case listed[id]:
 		case known.stopped != 0 && known.stopped < sentAt:
-			conductor.endAttempt(ctx, link, known, stager.Refusing, known.saved)
+			conductor.endAttempt(link, known, stager.Refusing, known.saved)
 		case known.state == running && known.acknowledged != 0 && known.acknowledged < sentAt && !known.stopping:
-			conductor.stop(ctx, link, known, "its worker does not know it")
+			conductor.stop(link, known, "its worker does not know it")
 		case known.adopted:
 			known.adopted = false
-			conductor.pursue(ctx, link, known)
+			conductor.pursue(link, known)
 		}
 	}
 }
--- a/conductor/intake.go
+++ b/conductor/intake.go
@@ -89,7 +89,7 @@
 		if err := conductor.do(&stager.Command{Cancel: &stager.Cancel{Job: id}}); err != nil {
 			return refused(coder.UnknownJob, err)
 		}
-		conductor.abandon(ctx, job)
+		conductor.abandon(job)
 		logger.Info(conductor.config.Logger, "job cancelled", "Job", id, "Status", job.Status().String(), "Live", live)
 		return nil
 	})
@@ -128,7 +128,7 @@
 // Announce takes up what a worker says of itself. It is acknowledged once a
 // change is committed, so that a later leader knows it too.
 func (conductor *Conductor) Announce(ctx context.Context, announcement *stager.Announcement) *coder.Refusal {
-	return conductor.request(ctx, func() *coder.Refusal { return conductor.meet(ctx, announcement) })
+	return conductor.request(ctx, func() *coder.Refusal { return conductor.meet(announcement) })
 }
 
 // Depart takes up that a worker has ended.
@@ -136,7 +136,7 @@
 	return conductor.request(ctx, func() *coder.Refusal {
 		link := conductor.links[announcement.Worker.Name]
 		if link != nil && (announcement.Worker.Life == 0 || announcement.Worker.Life == link.life) {
-			conductor.bury(ctx, link, "the worker has ended")
+			conductor.bury(link, "the worker has ended")
 		}
 		return nil
 	})
--- a/conductor/link.go
+++ b/conductor/link.go
@@ -71,9 +71,9 @@
 
 // adopt takes over the workers and attempts that the log knows of. What became
 // of the attempts is asked of the workers.
-func (conductor *Conductor) adopt(ctx context.Context) {
+func (conductor *Conductor) adopt() {
 	for name, worker := range conductor.state.Workers {
-		link := conductor.connect(ctx, worker)
+		link := conductor.connect(worker)
 		link.unheard = true
 		for _, id := range conductor.state.LiveOn(name) {
 			job := conductor.state.Jobs[id.Job]
@@ -81,15 +81,15 @@
 			adopted := &attempt{id: id, number: task.Attempt, ticket: task.Ticket, state: sent, unsure: true, adopted: true, resumed: true, stopping: job.Over()}
 			link.attempts[id] = adopted
 		}
-		conductor.hold(ctx, link)
+		conductor.hold(link)
 	}
 	if len(conductor.state.Workers) > 0 {
 		logger.Info(conductor.config.Logger, "workers adopted", "Epoch", conductor.state.Term, "Workers", len(conductor.state.Workers), "Open", len(conductor.state.Open()))
 	}
 }
 
-func (conductor *Conductor) connect(ctx context.Context, worker *stager.Worker) *link {
-	calls, end := context.WithCancel(ctx)
+func (conductor *Conductor) connect(worker *stager.Worker) *link {
+	calls, end := context.WithCancel(conductor.calls)
 	made := &link{calls: calls, end: end, name: worker.Name, life: worker.Life, address: worker.Address, heard: conductor.config.Clock(), silent: true, attempts: make(map[stager.TaskID]*attempt)}
 	conductor.links[worker.Name] = made
 	at, _ := conductor.place(worker.Name)
@@ -116,14 +116,14 @@
 }
 
 // meet takes up a worker's announcement.
-func (conductor *Conductor) meet(ctx context.Context, announcement *stager.Announcement) *coder.Refusal {
+func (conductor *Conductor) meet(announcement *stager.Announcement) *coder.Refusal {
 	worker := announcement.Worker
 	known := conductor.links[worker.Name]
 	if known != nil && worker.Life < known.life {
 		return coder.Refuse(coder.StaleIncarnation, "a later life of the worker is known")
 	}
 	if known != nil && worker.Life > known.life {
-		conductor.bury(ctx, known, "a new life of the worker has begun")
+		conductor.bury(known, "a new life of the worker has begun")
 		known = nil
 	}
 	if known != nil && announcement.Number <= known.number && announcement.Number != 0 {
@@ -138,15 +138,15 @@
 			"Rack", worker.Rack, "Leaving", worker.Leaving, "RemainingMillis", int64(announcement.Remaining))
 	}
 	if known == nil {
-		known = conductor.connect(ctx, &worker)
+		known = conductor.connect(&worker)
 	}
 	known.number = announcement.Number
 	known.address = worker.Address
 	conductor.heardOf(known, announcement.Clock)
-	conductor.hold(ctx, known)
+	conductor.hold(known)
 	conductor.dirty = true
 	if worker.Leaving {
-		conductor.vacate(ctx, known, announcement.Remaining)
+		conductor.vacate(known, announcement.Remaining)
 	}
 	return nil
 }
@@ -226,27 +226,27 @@
 }
 
 // watch looks after one worker as time passes.
-func (conductor *Conductor) watch(ctx context.Context, link *link) {
+func (conductor *Conductor) watch(link *link) {
 	if len(link.attempts) > 0 && link.misses > 0 && conductor.leaseOver(link) {
-		conductor.bury(ctx, link, "the worker does not answer and its lease is over")
+		conductor.bury(link, "the worker does not answer and its lease is over")
 		return
 	}
 	for _, attempt := range link.attempts {
-		conductor.pursue(ctx, link, attempt)
+		conductor.pursue(link, attempt)
 	}
-	conductor.hold(ctx, link)
+	conductor.hold(link)
 }
 
 // bury ends all attempts of a life that is over.
-func (conductor *Conductor) bury(ctx context.Context, link *link, why string) {
+func (conductor *Conductor) bury(link *link, why string) {
 	logger.Warn(conductor.config.Logger, "worker lost", "Worker", link.name, "Life", int64(link.life), "Reason", why, "Live", len(link.attempts),
 		"HeardMillisAgo", (conductor.config.Clock() - link.heard).Milliseconds())
 	link.end()
 	for _, attempt := range link.attempts {
 		if attempt.unsure || attempt.calling {
-			conductor.forestall(ctx, link, attempt)
+			conductor.forestall(link, attempt)
 		}
-		conductor.endAttempt(ctx, link, attempt, stager.Losing, attempt.saved)
+		conductor.endAttempt(link, attempt, stager.Losing, attempt.saved)
 	}
 	conductor.try(&stager.Command{Drop: &stager.Drop{Worker: link.name, Life: link.life}}, "drop a worker")
 	conductor.disconnect(link)
@@ -256,10 +256,10 @@
 // forestall has whoever is at a lost worker's address refuse an attempt whose
 // start may still be on its way: a new life there knows nothing of the old one, and
 // its clock begins anew, so that the start's lease would hold.
-func (conductor *Conductor) forestall(ctx context.Context, link *link, attempt *attempt) {
+func (conductor *Conductor) forestall(link *link, attempt *attempt) {
 	order := &StopOrder{Task: attempt.id, Attempt: attempt.number, Fence: conductor.state.Term}
 	target := link.target()
-	go func() { conductor.config.Stop(ctx, target, order) }()
+	go func() { conductor.config.Stop(conductor.calls, target, order) }()
 }
 
 // try does a command that the state should take, and tells if it does not.
@@ -273,13 +273,13 @@
 
 // vacate stops what would be lost with a leaving worker, if it can go on
 // elsewhere from where it stands.
-func (conductor *Conductor) vacate(ctx context.Context, link *link, remaining modeller.Millis) {
+func (conductor *Conductor) vacate(link *link, remaining modeller.Millis) {
 	for id, attempt := range link.attempts {
 		job := conductor.state.Jobs[id.Job]
 		step := &job.Steps[id.Step]
 		if attempt.state == running && !attempt.stopping && step.Checkpoints && !step.Gang &&
 			millis(attempt.remaining(conductor.runTime(job.Queue, step.RunTime), conductor.config.Clock())) > remaining {
-			conductor.stop(ctx, link, attempt, "its worker is leaving")
+			conductor.stop(link, attempt, "its worker is leaving")
 		}
 	}
 }
--- a/conductor/plan.go
+++ b/conductor/plan.go
@@ -1,7 +1,6 @@
 package conductor
 
 import (
-	"context"
 	"time"
 
 	"github.com/dotterelrill/dotterelrill/allotter"
@@ -12,7 +11,7 @@
 
 // plan goes through the waiting steps if something has changed that may let one
 // start.
-func (conductor *Conductor) plan(ctx context.Context) {
+func (conductor *Conductor) plan() {
 	if !conductor.dirty || conductor.inFlight >= batchesInFlight || conductor.failed != nil || !conductor.config.Leads() {
 		return
 	}
@@ -33,7 +32,7 @@
 			if first {
 				conductor.measures.wait.Update(float64(conductor.state.Now-job.Accepted) / 1000)
 			}
-			conductor.launch(ctx, place)
+			conductor.launch(place)
 			return nil
 		},
 		Ask:     conductor.ask,
