A silent worker is probed for its life before a start is sent again

A silent worker is asked for its life by a hold that renews nothing and forgets nothing, and gets starts and holds only after its answer. Test seen failing first.

--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -136,6 +136,9 @@
 		conductor.endAttempt(link, attempt, stager.Refusing, "")
 	case attempt.stopping && attempt.stopped == 0:
 		conductor.sendStop(link, attempt)
+	case !attempt.stopping && attempt.unsure && link.silent:
+		// A new life may be there that would take the start.
+		conductor.probe(link)
 	case !attempt.stopping && (attempt.state == committed || attempt.state == sent):
 		conductor.sendStart(link, attempt)
 	}
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -594,3 +594,30 @@
 	defer fleet.mutex.Unlock()
 	fleet.c.Check(fleet.cancelled, qt.IsTrue, qt.Commentf("the start was not called back"))
 }
+
+// TestAStartIsNotSentAgainToANewLife has a worker crash with a start on its way and
+// come back under its name before it announces itself.
+func TestAStartIsNotSentAgainToANewLife(t *testing.T) {
+	fleet := newFleet(t, nil)
+	fleet.announce("w1", 4)
+	life := stager.Life(1)
+	fleet.mutex.Lock()
+	fleet.onStart = func(conductor.Target, *conductor.StartOrder) conductor.Answer {
+		if life == 1 {
+			life = 2
+			return conductor.Answer{Outcome: conductor.Unanswered}
+		}
+		return conductor.Answer{}
+	}
+	fleet.onHold = func(_ conductor.Target, order *conductor.HoldOrder) *conductor.Holding {
+		fleet.c.Check(life == 1 || order.Observed == 0 && order.Expires == 0, qt.IsTrue, qt.Commentf("%+v", order))
+		return &conductor.Holding{Answer: conductor.Answer{Outcome: conductor.Obeyed, Clock: clock()}, Life: life}
+	}
+	fleet.mutex.Unlock()
+	fleet.submit("j", core(1))
+	fleet.await("the stop", func() bool { return len(fleet.stops) > 0 })
+	time.Sleep(300 * time.Millisecond)
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.c.Check(fleet.starts, qt.HasLen, 1)
+}
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -24,14 +24,21 @@
 	probePause = 500 * time.Millisecond
 )
 
-// hold keeps one call open at a worker that runs something, has endings that it
-// may forget, or has yet to answer so that it can be given work.
+// hold keeps one call open at a worker that runs something or has endings that
+// it may forget. One that does not answer is probed first.
 func (conductor *Conductor) hold(link *link) {
 	now := conductor.config.Clock()
-	if link.holding || now < link.holdAt || len(link.attempts) == 0 && link.told >= link.observed && !link.silent {
+	if link.holding || now < link.holdAt {
 		return
 	}
-	wanted := len(link.attempts) == 0 || link.silent
+	if link.silent {
+		conductor.probe(link)
+		return
+	}
+	if len(link.attempts) == 0 && link.told >= link.observed {
+		return
+	}
+	wanted := len(link.attempts) == 0
 	for _, attempt := range link.attempts {
 		wanted = wanted || attempt.adopted || attempt.state == running || attempt.stopped != 0 || attempt.unsure
 	}
@@ -55,7 +62,7 @@
 // holdWait is how long the next hold waits: until the first attempt should have
 // ended, and not at all while something has to be learned soon.
 func (conductor *Conductor) holdWait(link *link) time.Duration {
-	if len(link.attempts) == 0 || link.silent {
+	if len(link.attempts) == 0 {
 		return 0
 	}
 	wait := holdWaitMost
@@ -76,21 +83,14 @@
 func (conductor *Conductor) held(link *link, order *HoldOrder, sentAt time.Duration, holding Holding) {
 	link.holding = false
 	conductor.measures.called("hold", holding.Answer)
-	if conductor.links[link.name] != link {
-		return
-	}
-	if holding.Outcome == Replaced || holding.Outcome == Obeyed && holding.Life != 0 && holding.Life != link.life {
-		conductor.bury(link, "another life answers at its address")
+	if !conductor.sameLife(link, holding) {
 		return
 	}
 	if holding.Outcome != Obeyed {
-		conductor.holdMissed(link, holding)
+		link.holdAt = conductor.config.Clock() + holdPause
+		conductor.silence(link, "hold", holding.Answer)
 		return
 	}
-	if link.misses > 0 {
-		logger.Info(conductor.config.Logger, "worker answers again", "Worker", link.name, "Misses", link.misses)
-	}
-	link.misses = 0
 	link.told = max(link.told, order.Observed)
 	conductor.answered(link, holding.Clock)
 	listed := conductor.takeRunning(link, holding.Running)
@@ -101,13 +101,55 @@
 	conductor.resumeHold(link)
 }
 
-func (conductor *Conductor) holdMissed(link *link, holding Holding) {
-	link.misses++
-	link.holdAt = conductor.config.Clock() + holdPause
-	if len(link.attempts) == 0 {
-		link.holdAt += probePause - holdPause
+// sameLife reports whether an answer came from the life that was asked. Another
+// one ends the link.
+func (conductor *Conductor) sameLife(link *link, holding Holding) bool {
+	if conductor.links[link.name] != link {
+		return false
+	}
+	if holding.Outcome == Replaced || holding.Outcome == Obeyed && holding.Life != 0 && holding.Life != link.life {
+		conductor.bury(link, "another life answers at its address")
+		return false
+	}
+	return true
+}
+
+// probe asks a silent worker for its life. It tells the worker to forget nothing
+// and renews no lease: a new life may be there that nobody has heard of, which
+// would forget endings of its own and run on under the old one's lease.
+func (conductor *Conductor) probe(link *link) {
+	now := conductor.config.Clock()
+	if link.probing || now < link.probeAt {
+		return
+	}
+	link.probing = true
+	target, order := link.target(), &HoldOrder{Fence: conductor.state.Term}
+	go func() {
+		callCtx, cancel := context.WithTimeout(link.calls, holdPatience)
+		defer cancel()
+		holding := conductor.config.Hold(callCtx, target, order)
+		conductor.post(func() { conductor.probed(link, holding) })
+	}()
+}
+
+func (conductor *Conductor) probed(link *link, holding Holding) {
+	link.probing = false
+	conductor.measures.called("probe", holding.Answer)
+	if !conductor.sameLife(link, holding) {
+		return
+	}
+	if holding.Outcome != Obeyed {
+		link.probeAt = conductor.config.Clock() + holdPause
+		if len(link.attempts) == 0 {
+			link.probeAt += probePause - holdPause
+		}
+		return
+	}
+	conductor.answered(link, holding.Clock)
+	for _, attempt := range link.attempts {
+		conductor.pursue(link, attempt)
 	}
-	conductor.silence(link, "hold", holding.Answer)
+	conductor.hold(link)
 }
 
 // resumeHold sends the next hold once what this one brought is committed, so
--- a/conductor/link.go
+++ b/conductor/link.go
@@ -32,6 +32,8 @@
 	// one is: the worker may be cut off though its announcements come, so it gets
 	// nothing new.
 	silent bool
+	// silentAt is when the first call was not answered, zero before.
+	silentAt time.Duration
 
 	// clock was the worker's clock no later than at clockAt. It is zero while it
 	// is not known.
@@ -42,10 +44,11 @@
 	expires modeller.Millis
 
 	attempts map[stager.TaskID]*attempt
-	// holding is true while a hold is under way, misses counts those in a row
-	// that were not answered, and holdAt is when to try again.
+	// holding and probing are true while a hold or a probe is under way, and
+	// holdAt and probeAt are when to try again.
 	holding bool
-	misses  int
+	probing bool
+	probeAt time.Duration
 	holdAt  time.Duration
 	// observed is the last ending that is committed; told is what the worker
 	// was last told of that.
@@ -172,6 +175,9 @@
 	if link.silent {
 		link.silent = false
 		conductor.dirty = true
+		if link.silentAt != 0 {
+			logger.Info(conductor.config.Logger, "worker answers again", "Worker", link.name, "AfterMillis", (link.heard - link.silentAt).Milliseconds())
+		}
 	}
 }
 
@@ -180,7 +186,7 @@
 	if link.silent {
 		return
 	}
-	link.silent = true
+	link.silent, link.silentAt = true, conductor.config.Clock()
 	logger.Warn(conductor.config.Logger, "worker does not answer", "Worker", link.name, "Call", call, "Outcome", answer.Outcome.String(),
 		"Reason", answer.Reason.String(), "Detail", answer.Detail, "Live", len(link.attempts), "HeardMillisAgo", (conductor.config.Clock() - link.heard).Milliseconds())
 }
@@ -227,7 +233,7 @@
 
 // watch looks after one worker as time passes.
 func (conductor *Conductor) watch(link *link) {
-	if len(link.attempts) > 0 && link.misses > 0 && conductor.leaseOver(link) {
+	if len(link.attempts) > 0 && link.silent && conductor.leaseOver(link) {
 		conductor.bury(link, "the worker does not answer and its lease is over")
 		return
 	}
