What a new life of a worker may have taken is stopped before its tasks go elsewhere

A worker crashed and was back under its name 170 ms later; a first start went to the new life before the leader had heard of it, and when the leader did, it gave the old life's tasks up at once and placed them elsewhere while one ran on in the new life. Starts bear the worker's name, not its life, and a new life's clock begins anew, so neither protects.

When a new life is heard of, all that was sent to the old one is stopped at the new one, and is lost only when that says that it does not run; nothing is renewed meanwhile, and the new life is admitted after that.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -43,6 +43,8 @@
 	lead    bool
 	// percent is how far all that a worker runs is.
 	percent map[modeller.WorkerName]int
+	// lives are those announced last.
+	lives map[modeller.WorkerName]stager.Life
 	// blocked is closed by the next start, which waits for its context; cancelled
 	// is true if that was called back.
 	blocked   chan struct{}
@@ -81,6 +83,7 @@
 		running: make(map[modeller.WorkerName]map[string]conductor.StartOrder), done: make(map[modeller.WorkerName][]conductor.EndedAttempt),
 		observed: make(map[modeller.WorkerName]uint64),
 		percent:  make(map[modeller.WorkerName]int),
+		lives:    make(map[modeller.WorkerName]stager.Life),
 	}
 	begun := time.Now()
 	copied, err := state.Clone()
@@ -202,7 +205,7 @@
 		}
 	}
 	fleet.observed[target.Worker] = max(fleet.observed[target.Worker], order.Observed)
-	holding := conductor.Holding{Answer: conductor.Answer{Outcome: conductor.Obeyed, Clock: clock()}, Life: target.Life}
+	holding := conductor.Holding{Answer: conductor.Answer{Outcome: conductor.Obeyed, Clock: clock()}, Life: fleet.lives[target.Worker]}
 	for _, order := range fleet.running[target.Worker] {
 		holding.Running = append(holding.Running, conductor.RunningAttempt{Task: order.Task, Attempt: order.Attempt, Percent: fleet.percent[target.Worker]})
 	}
@@ -220,6 +223,9 @@
 func (fleet *fleet) announce(name string, cores int64) { fleet.announceLife(name, cores, 1) }
 
 func (fleet *fleet) announceLife(name string, cores int64, life stager.Life) {
+	fleet.mutex.Lock()
+	fleet.lives[modeller.WorkerName(name)] = life
+	fleet.mutex.Unlock()
 	worker := stager.Worker{
 		Name: modeller.WorkerName(name), Life: life, Pool: "p", Address: name,
 		Capacity: modeller.Resources{MilliProcessors: 1000 * cores, MemoryMiB: 1000},
@@ -621,3 +627,23 @@
 	defer fleet.mutex.Unlock()
 	fleet.c.Check(fleet.starts, qt.HasLen, 1)
 }
+
+// TestAStartThatANewLifeTookIsStoppedBeforeItsTaskGoesElsewhere has a worker crash
+// and come back under its name at once, so that a first start goes to the new life.
+func TestAStartThatANewLifeTookIsStoppedBeforeItsTaskGoesElsewhere(t *testing.T) {
+	fleet := newFleet(t, nil)
+	fleet.announce("w1", 4)
+	fleet.submit("j", core(1))
+	fleet.await("the start", func() bool { return len(fleet.running["w1"]) == 1 })
+	fleet.announce("w2", 4)
+	fleet.mutex.Lock()
+	fleet.onStart = func(conductor.Target, *conductor.StartOrder) conductor.Answer {
+		fleet.c.Check(fleet.stops, qt.DeepEquals, []string{"j.0.0.0"})
+		fleet.c.Check(fleet.running["w1"], qt.HasLen, 0)
+		return conductor.Answer{}
+	}
+	fleet.mutex.Unlock()
+	fleet.announceLife("w1", 4, 2)
+	fleet.await("the task again", func() bool { return len(fleet.starts) == 2 })
+	fleet.await("the new life's admission", func() bool { return fleet.state.Workers["w1"] != nil && fleet.state.Workers["w1"].Life == 2 })
+}
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -107,8 +107,15 @@
 	if conductor.links[link.name] != link {
 		return false
 	}
-	if holding.Outcome == Replaced || holding.Outcome == Obeyed && holding.Life != 0 && holding.Life != link.life {
-		conductor.bury(link, "another life answers at its address")
+	if holding.Outcome == Replaced {
+		conductor.bury(link, "another worker answers at its address")
+		return false
+	}
+	current := max(link.life, link.heir)
+	if holding.Outcome == Obeyed && holding.Life != 0 && holding.Life != current {
+		if holding.Life > current {
+			conductor.succeed(link, holding.Life)
+		}
 		return false
 	}
 	return true
--- a/conductor/link.go
+++ b/conductor/link.go
@@ -17,10 +17,17 @@
 type link struct {
 	// calls ends with the life, so that nothing is sent for it to the next one,
 	// which may have the same name and address.
-	calls   context.Context
-	end     context.CancelFunc
-	name    modeller.WorkerName
-	life    stager.Life
+	calls context.Context
+	end   context.CancelFunc
+	name  modeller.WorkerName
+	life  stager.Life
+	// heir is a later life at the same address that may have taken starts which
+	// were meant for this one; zero while none is known. Everything is stopped
+	// there before the link ends. heirAt is when it was heard of, and next its
+	// announcement, taken up after that.
+	heir    stager.Life
+	heirAt  time.Duration
+	next    *stager.Announcement
 	address string
 	// number is that of the newest announcement.
 	number uint64
@@ -115,7 +122,7 @@
 }
 
 func (link *link) target() Target {
-	return Target{Worker: link.name, Life: link.life, Address: link.address}
+	return Target{Worker: link.name, Life: max(link.life, link.heir), Address: link.address}
 }
 
 // meet takes up a worker's announcement.
@@ -126,7 +133,10 @@
 		return coder.Refuse(coder.StaleIncarnation, "a later life of the worker is known")
 	}
 	if known != nil && worker.Life > known.life {
-		conductor.bury(known, "a new life of the worker has begun")
+		if conductor.succeed(known, worker.Life) {
+			known.next = announcement
+			return nil
+		}
 		known = nil
 	}
 	if known != nil && announcement.Number <= known.number && announcement.Number != 0 {
@@ -201,7 +211,7 @@
 // if none may be given. A worker that does not answer gets no longer one, so
 // that its lease ends.
 func (conductor *Conductor) leaseEnd(link *link) modeller.Millis {
-	if link.clock == 0 || !conductor.config.Leads() {
+	if link.clock == 0 || link.heir != 0 || !conductor.config.Leads() {
 		return 0
 	}
 	if link.expires > 0 && link.silent {
@@ -220,6 +230,9 @@
 	if now < conductor.begun+term+2*term/driftDivisor+deposedMost {
 		return false
 	}
+	if link.heir != 0 {
+		return now > link.heirAt+term+2*term/driftDivisor+deposedMost
+	}
 	if link.expires == 0 {
 		return true
 	}
@@ -228,7 +241,7 @@
 
 // usable reports whether a worker may get new work.
 func (conductor *Conductor) usable(link *link, now time.Duration) bool {
-	return !link.unheard && !link.silent && link.clock != 0 && now-link.heard < conductor.config.Terms.StaleAfter && now >= link.avoidUntil
+	return link.heir == 0 && !link.unheard && !link.silent && link.clock != 0 && now-link.heard < conductor.config.Terms.StaleAfter && now >= link.avoidUntil
 }
 
 // watch looks after one worker as time passes.
@@ -237,6 +250,11 @@
 		conductor.bury(link, "the worker does not answer and its lease is over")
 		return
 	}
+	if link.heir != 0 && len(link.attempts) == 0 {
+		conductor.bury(link, "a new life of the worker has begun")
+		conductor.admitNext(link)
+		return
+	}
 	for _, attempt := range link.attempts {
 		conductor.pursue(link, attempt)
 	}
@@ -259,6 +277,43 @@
 	conductor.dirty = true
 }
 
+// succeed takes up that a new life of a worker has begun. It may have taken starts
+// that were meant for the old one, since both bear one name and its clock begins
+// anew. So what was sent is stopped there, and is lost only once the new life says
+// that it does not run. It returns whether that is still awaited.
+func (conductor *Conductor) succeed(link *link, heir stager.Life) bool {
+	if link.heir != heir {
+		logger.Warn(conductor.config.Logger, "new life of a worker", "Worker", link.name, "Life", int64(link.life), "NewLife", int64(heir), "Live", len(link.attempts))
+		link.heir, link.heirAt = heir, conductor.config.Clock()
+		link.clock, link.expires, link.observed, link.told = 0, 0, 0, 0
+		link.end()
+		link.calls, link.end = context.WithCancel(conductor.calls)
+		for _, attempt := range link.attempts {
+			if attempt.state <= committed && !attempt.calling {
+				conductor.endAttempt(link, attempt, stager.Losing, attempt.saved)
+				continue
+			}
+			attempt.stopping, attempt.stopped, attempt.adopted, attempt.callAt = true, 0, false, 0
+			conductor.pursue(link, attempt)
+		}
+	}
+	if len(link.attempts) == 0 {
+		conductor.bury(link, "a new life of the worker has begun")
+		return false
+	}
+	return true
+}
+
+// admitNext takes up the announcement of a link's heir, if there was one.
+func (conductor *Conductor) admitNext(link *link) {
+	if link.next == nil {
+		return
+	}
+	if refusal := conductor.meet(link.next); refusal != nil {
+		logger.Warn(conductor.config.Logger, "new life not admitted", "Worker", link.name, "Life", int64(link.heir), "Error", refusal.Error())
+	}
+}
+
 // forestall has whoever is at a lost worker's address refuse an attempt whose
 // start may still be on its way: a new life there knows nothing of the old one, and
 // its clock begins anew, so that the start's lease would hold.
