--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOLANGCI := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 PROPERTIES := ./applier ./leaser ./limiter ./quarantiner ./retrier ./messenger ./journaler ./placer ./planner ./queuer
 
-.PHONY: build demo test properties lint soak spread capacity docs measure
+.PHONY: build demo test properties lint soak platform-soak spread capacity docs measure
 
 build:
 	@mkdir -p bin
@@ -31,6 +31,11 @@
 soak:
 	go test ./internal/soaker -count=1 -timeout=0 -v -run=TestPromisesHold -args -soak.seed=$(or $(SEED),1) -soak.faulty=$(or $(FAULTY),1m)
 
+# The same against the programs of platform/: make platform-soak SEED=7 SEEDS=10 FAULTY=15s
+# Logs stay in DOTTEREL_SOAK_FOLDER, if that is set.
+platform-soak:
+	go test ./platform/soaker -count=1 -timeout=0 -v -args -soak.seed=$(or $(SEED),1) -soak.seeds=$(or $(SEEDS),1) -soak.faulty=$(or $(FAULTY),15s)
+
 # How long changes of the configuration take to be in force: make spread ROUNDS=50
 spread:
 	go test ./internal/soaker -count=1 -timeout=0 -v -run=TestChangesAreInForce -args -spread.rounds=$(or $(ROUNDS),20)
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -40,13 +40,11 @@
 	made.server = server
 	(&messenger.CellServer{
 		Query: func(ctx context.Context, _ *messenger.QueryRequest) (*messenger.QueryReply, error) {
-			made.hang(ctx)
-			return &messenger.QueryReply{Refusal: made.refusal()}, nil
+			return &messenger.QueryReply{Refusal: made.refusal()}, made.hang(ctx)
 		},
 		Staged: messenger.StagedServer{
 			Submit: func(ctx context.Context, _ *messenger.StagedSubmitRequest) (*messenger.StagedReply, error) {
-				made.hang(ctx)
-				return &messenger.StagedReply{}, nil
+				return &messenger.StagedReply{Refusal: made.refusal()}, made.hang(ctx)
 			},
 			Advise: func(_ context.Context, request *messenger.AdviseRequest) (*messenger.StagedReply, error) {
 				made.advice <- request.Advice
@@ -67,10 +65,14 @@
 	return nil
 }
 
-func (leader *leader) hang(ctx context.Context) {
+// hang returns an error once the context is over if the leader is silent, so that
+// nothing is answered in the moment in which the caller's deadline passes.
+func (leader *leader) hang(ctx context.Context) error {
 	if leader.silent.Load() {
 		<-ctx.Done()
+		return ctx.Err()
 	}
+	return nil
 }
 
 func (leader *leader) inquiries(ctx context.Context, _ *messenger.InquiriesRequest, send func(*messenger.Inquiring) error) error {
@@ -84,7 +86,9 @@
 		case <-ticker.C:
 		case message = <-leader.questions:
 		}
-		leader.hang(ctx)
+		if err := leader.hang(ctx); err != nil {
+			return err
+		}
 		if err := send(message); err != nil {
 			return err
 		}
