--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -27,7 +27,8 @@
 	Pace float64
 }
 
-// Ending is when a live attempt is expected to give room back.
+// Ending is when a live attempt is expected to give room back, on the clock of
+// Elapsed.
 type Ending struct {
 	At   modeller.Millis
 	Size modeller.Resources
@@ -60,7 +61,7 @@
 type Ticket struct {
 	Ticket stager.Ticket
 	Life   stager.Life
-	// Until is when the ticket is no longer to be used, on the clock of Now.
+	// Until is when the ticket is no longer to be used, on the clock of Elapsed.
 	Until modeller.Millis
 }
 
@@ -95,8 +96,8 @@
 // Allotter goes through the waiting steps once.
 type Allotter struct {
 	config Config
-	// kept is the room that steps wait for an adviser's leave to use: that of
-	// gangs, and that of more urgent steps.
+	// kept is the room that is not to be used now: what steps wait for an
+	// adviser's leave to use, and what will be free first for gangs that wait.
 	kept map[modeller.WorkerName]modeller.Resources
 	// lateKept is true once room is kept for a gang that is late.
 	lateKept bool
