--- a/conductor/estimate.go
+++ b/conductor/estimate.go
@@ -31,6 +31,7 @@
 	}
 	if !step.Gang {
 		link.pace.Observe(trend.RunTime(step.RunTime), ran)
+		// The trend is that of a worker of the usual pace.
 		ran = modeller.Millis(float64(ran) / link.pace.Factor())
 	}
 	trend.Observe(step.RunTime, ran)
