A call takes its life's context before its goroutine begins

Found in the last reading: the goroutines of starts, stops, holds and probes read the link's context, which its owner replaces when a new life is heard of. One that began after that would have sent a start for the old life under the new one's context, and the read raced with the write. The context is now taken by the owner.

--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -157,9 +157,9 @@
 	attempt.state, attempt.calling, attempt.resumed = sent, true, order.Saved != ""
 	attempt.starts++
 	patience := startPatience * time.Duration(attempt.starts)
-	target := link.target()
+	target, calls := link.target(), link.calls
 	go func() {
-		callCtx, cancel := context.WithTimeout(link.calls, patience)
+		callCtx, cancel := context.WithTimeout(calls, patience)
 		defer cancel()
 		answer := conductor.config.Start(callCtx, target, order)
 		conductor.post(func() { conductor.startAnswered(link, attempt, answer) })
@@ -237,9 +237,9 @@
 func (conductor *Conductor) sendStop(link *link, attempt *attempt) {
 	attempt.calling = true
 	order := &StopOrder{Task: attempt.id, Attempt: attempt.number, Fence: conductor.state.Term}
-	target := link.target()
+	target, calls := link.target(), link.calls
 	go func() {
-		answer := conductor.config.Stop(link.calls, target, order)
+		answer := conductor.config.Stop(calls, target, order)
 		conductor.post(func() { conductor.stopAnswered(link, attempt, answer) })
 	}()
 }
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -50,9 +50,9 @@
 		order.Expires = conductor.leaseEnd(link)
 	}
 	link.holding = true
-	target := link.target()
+	target, calls := link.target(), link.calls
 	go func() {
-		callCtx, cancel := context.WithTimeout(link.calls, order.Wait+holdPatience)
+		callCtx, cancel := context.WithTimeout(calls, order.Wait+holdPatience)
 		defer cancel()
 		holding := conductor.config.Hold(callCtx, target, order)
 		conductor.post(func() { conductor.held(link, order, now, holding) })
@@ -130,9 +130,9 @@
 		return
 	}
 	link.probing = true
-	target, order := link.target(), &HoldOrder{Fence: conductor.state.Term}
+	target, calls, order := link.target(), link.calls, &HoldOrder{Fence: conductor.state.Term}
 	go func() {
-		callCtx, cancel := context.WithTimeout(link.calls, holdPatience)
+		callCtx, cancel := context.WithTimeout(calls, holdPatience)
 		defer cancel()
 		holding := conductor.config.Hold(callCtx, target, order)
 		conductor.post(func() { conductor.probed(link, holding) })
@@ -214,8 +214,8 @@
 func (conductor *Conductor) stopStray(link *link, said *RunningAttempt) {
 	logger.Warn(conductor.config.Logger, "stray task stopped", "Task", said.Task.String(), "Attempt", said.Attempt, "Worker", link.name)
 	order := &StopOrder{Task: said.Task, Attempt: said.Attempt, Fence: conductor.state.Term}
-	target := link.target()
-	go func() { conductor.config.Stop(link.calls, target, order) }()
+	target, calls := link.target(), link.calls
+	go func() { conductor.config.Stop(calls, target, order) }()
 }
 
 // takeEnded records the endings. The worker is told that it may forget them
