Decisions don't depend on the order of maps

Cause: allotter.oneRack, State.Rebuild, expectedReleases and the loops of the conductor over a worker's attempts ranged over maps, so the same input could lead to another rack, another order of waiting jobs after a change of leader, and another order of ends in the log (of several checkpoints of a gang the last one counts).

Change: racks in the order of their first candidate, open jobs by acceptance and ID, attempts in the order of their tasks. The ranges that are left only count, delete or take a minimum. The tick sorts only the attempts for which a call may be due.

--- a/allotter/order.go
+++ b/allotter/order.go
@@ -46,7 +46,7 @@
 		if left.answered != right.answered {
 			return compareFirst(left.answered)
 		}
-		return cmp.Or(cmp.Compare(left.urgency, right.urgency), cmp.Compare(left.latestStart, right.latestStart))
+		return cmp.Or(cmp.Compare(left.urgency, right.urgency), cmp.Compare(left.latestStart, right.latestStart), cmp.Compare(left.id.Job, right.id.Job))
 	})
 	return steps
 }
--- a/allotter/place.go
+++ b/allotter/place.go
@@ -199,16 +199,21 @@
 }
 
 // oneRack narrows the candidates to those of one rack that can hold all of the
-// step's tasks, the one with the most candidates. If there is none, it returns
-// all candidates.
+// step's tasks: the one with the most candidates or, of several such racks, that of
+// the first candidate. If there is none, it returns all candidates.
 func (allotter *Allotter) oneRack(step *readyStep, candidates []*Candidate) []*Candidate {
 	racks := make(map[modeller.RackName][]*Candidate)
+	var names []modeller.RackName
 	for _, candidate := range candidates {
-		racks[candidate.Worker.Rack] = append(racks[candidate.Worker.Rack], candidate)
+		name := candidate.Worker.Rack
+		if racks[name] == nil {
+			names = append(names, name)
+		}
+		racks[name] = append(racks[name], candidate)
 	}
 	var best []*Candidate
-	for _, rack := range racks {
-		if len(rack) > len(best) && len(allotter.assign(step, rack).Tasks) == len(step.tasks) {
+	for _, name := range names {
+		if rack := racks[name]; len(rack) > len(best) && len(allotter.assign(step, rack).Tasks) == len(step.tasks) {
 			best = rack
 		}
 	}
--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -130,10 +130,14 @@
 	})
 }
 
+// due reports whether a call for the attempt may be sent now, if it needs one.
+func (attempt *attempt) due(now time.Duration) bool {
+	return !attempt.callInFlight && !attempt.awaitingReport && now >= attempt.nextCallAt && (attempt.stopping || attempt.state != running)
+}
+
 // reconcile sends the call that an attempt needs next, if any.
 func (conductor *Conductor) reconcile(connection *connection, attempt *attempt) {
-	now := conductor.config.Clock()
-	if attempt.callInFlight || attempt.awaitingReport || now < attempt.nextCallAt {
+	if !attempt.due(conductor.config.Clock()) {
 		return
 	}
 	switch {
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -19,6 +19,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -284,7 +285,7 @@
 
 // tick does the work that depends only on the passing of time.
 func (conductor *Conductor) tick() {
-	for _, connection := range conductor.connections {
+	for _, connection := range slices.Clone(conductor.sortedConnections) {
 		conductor.checkWorker(connection)
 	}
 	conductor.expireInquiries()
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -51,6 +51,8 @@
 	startCancelled bool
 	// lostHolds is how many of the next holds with a wait get no answer.
 	lostHolds int
+	// onBatch is called with each batch that is committed, if it is set.
+	onBatch func(*stager.Batch)
 	// lastBatch is closed once the previous batch is decided.
 	lastBatch chan struct{}
 }
@@ -128,6 +130,9 @@
 		if fleet.failCommits {
 			return fmt.Errorf("lost")
 		}
+		if fleet.onBatch != nil {
+			fleet.onBatch(batch)
+		}
 		return fleet.state.Apply(batch)
 	}, nil
 }
--- a/conductor/connection.go
+++ b/conductor/connection.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -87,8 +88,8 @@
 // takeOverState takes over the workers and attempts in the committed state. The
 // workers are asked for the state of the attempts.
 func (conductor *Conductor) takeOverState() {
-	for name, worker := range conductor.state.Workers {
-		connection := conductor.connect(worker)
+	for _, name := range slices.Sorted(maps.Keys(conductor.state.Workers)) {
+		connection := conductor.connect(conductor.state.Workers[name])
 		connection.uncontacted = true
 		for _, id := range conductor.state.LiveOn(name) {
 			job := conductor.state.Jobs[id.Job]
@@ -266,18 +267,40 @@
 		conductor.admitSuccessor(connection)
 		return
 	}
-	for _, attempt := range connection.attempts {
+	for _, attempt := range connection.dueAttempts(conductor.config.Clock()) {
 		conductor.reconcile(connection, attempt)
 	}
 	conductor.ensureHold(connection)
 }
 
+// sortedAttempts returns the worker's attempts in the order of their tasks. Commands
+// that follow from several attempts are applied in this order, so that the same
+// input leads to the same log.
+func (connection *connection) sortedAttempts() []*attempt {
+	return slices.SortedFunc(maps.Values(connection.attempts), compareAttempts)
+}
+
+// dueAttempts returns the attempts for which reconcile may have something to do,
+// in the order of their tasks.
+func (connection *connection) dueAttempts(now time.Duration) []*attempt {
+	var due []*attempt
+	for _, attempt := range connection.attempts {
+		if attempt.due(now) {
+			due = append(due, attempt)
+		}
+	}
+	slices.SortFunc(due, compareAttempts)
+	return due
+}
+
+func compareAttempts(left, right *attempt) int { return left.id.Compare(right.id) }
+
 // dropIncarnation ends all attempts of an incarnation that is over.
 func (conductor *Conductor) dropIncarnation(connection *connection, reason string) {
 	logger.Warn(conductor.config.Logger, "worker lost", "Worker", connection.name, "Life", int64(connection.incarnation), "Reason", reason, "Live", len(connection.attempts),
 		"HeardMillisAgo", (conductor.config.Clock() - connection.lastContact).Milliseconds())
 	connection.cancelCalls()
-	for _, attempt := range connection.attempts {
+	for _, attempt := range connection.sortedAttempts() {
 		if attempt.startUnconfirmed || attempt.callInFlight {
 			conductor.preventLateStart(connection, attempt)
 		}
@@ -301,7 +324,7 @@
 		connection.workerClock, connection.leaseExpires, connection.committedEnding, connection.acknowledgedEnding = 0, 0, 0, 0
 		connection.cancelCalls()
 		connection.callContext, connection.cancelCalls = context.WithCancel(conductor.callContext)
-		for _, attempt := range connection.attempts {
+		for _, attempt := range connection.sortedAttempts() {
 			if attempt.state <= committed && !attempt.callInFlight {
 				conductor.endAttempt(connection, attempt, stager.Losing, attempt.saved)
 				continue
@@ -350,9 +373,9 @@
 // drain stops the attempts of a leaving worker that would not end in time and
 // can resume elsewhere from a checkpoint.
 func (conductor *Conductor) drain(connection *connection, remaining modeller.Millis) {
-	for id, attempt := range connection.attempts {
-		job := conductor.state.Jobs[id.Job]
-		step := &job.Steps[id.Step]
+	for _, attempt := range connection.sortedAttempts() {
+		job := conductor.state.Jobs[attempt.id.Job]
+		step := &job.Steps[attempt.id.Step]
 		if attempt.state == running && !attempt.stopping && step.Checkpoints && !step.Gang &&
 			millis(attempt.remainingTime(conductor.runTime(job.Queue, step.RunTime), conductor.config.Clock())) > remaining {
 			conductor.stopAttempt(connection, attempt, "its worker is leaving")
--- a/conductor/estimate.go
+++ b/conductor/estimate.go
@@ -57,7 +57,9 @@
 		remaining := attempt.remainingTime(conductor.runTime(job.Queue, step.RunTime), now)
 		found = append(found, allotter.ExpectedRelease{At: millis(now + remaining), Size: step.Demand()})
 	}
-	slices.SortFunc(found, func(left, right allotter.ExpectedRelease) int { return cmp.Compare(left.At, right.At) })
+	slices.SortFunc(found, func(left, right allotter.ExpectedRelease) int {
+		return cmp.Or(cmp.Compare(left.At, right.At), cmp.Compare(left.Size.MilliProcessors, right.Size.MilliProcessors), cmp.Compare(left.Size.MemoryMiB, right.Size.MemoryMiB))
+	})
 	return found
 }
 
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -158,7 +158,7 @@
 		return
 	}
 	conductor.markResponsive(connection, holdAnswer.Clock)
-	for _, attempt := range connection.attempts {
+	for _, attempt := range connection.dueAttempts(conductor.config.Clock()) {
 		conductor.reconcile(connection, attempt)
 	}
 	conductor.ensureHold(connection)
@@ -251,9 +251,9 @@
 // handleMissing handles attempts that the worker reports neither as running nor
 // as ended.
 func (conductor *Conductor) handleMissing(connection *connection, listed map[stager.TaskID]bool, sentAt time.Duration) {
-	for id, attempt := range connection.attempts {
+	for _, attempt := range connection.sortedAttempts() {
 		switch {
-		case listed[id]:
+		case listed[attempt.id]:
 		case attempt.stopAcknowledgedAt != 0 && attempt.stopAcknowledgedAt < sentAt:
 			conductor.endAttempt(connection, attempt, stager.Refusing, attempt.saved)
 		case attempt.state == running && attempt.startAcknowledgedAt != 0 && attempt.startAcknowledgedAt < sentAt && !attempt.stopping:
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -17,6 +17,7 @@
 package stager
 
 import (
+	"cmp"
 	"fmt"
 
 	"github.com/dotterelrill/dotterelrill/modeller"
@@ -60,6 +61,11 @@
 // String returns the identity in the form job.occurrence.step.index.
 func (id TaskID) String() string { return fmt.Sprintf("%s.%d", id.StepID, id.Index) }
 
+// Compare orders tasks by job, occurrence, step and index.
+func (id TaskID) Compare(other TaskID) int {
+	return cmp.Or(cmp.Compare(id.Job, other.Job), cmp.Compare(id.Occurrence, other.Occurrence), cmp.Compare(id.Step, other.Step), cmp.Compare(id.Index, other.Index))
+}
+
 // Step is a set of identical tasks.
 type Step struct {
 	// Tasks is the number of tasks, at least 1.
--- a/stager/state.go
+++ b/stager/state.go
@@ -1,7 +1,9 @@
 package stager
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 
 	"github.com/dotterelrill/dotterelrill/encoder"
 	"github.com/dotterelrill/dotterelrill/modeller"
@@ -82,6 +84,9 @@
 			}
 		}
 	}
+	slices.SortFunc(state.openJobs, func(left, right *Job) int {
+		return cmp.Or(cmp.Compare(left.Accepted, right.Accepted), cmp.Compare(left.ID, right.ID))
+	})
 }
 
 func (state *State) makeMaps() {
@@ -158,7 +163,8 @@
 	delete(worker.liveTasks, id)
 }
 
-// Open returns the jobs that are not over. The slice belongs to the state.
+// Open returns the jobs that are not over, in the order in which they were
+// accepted. The slice belongs to the state.
 func (state *State) Open() []*Job { return state.openJobs }
 
 // Pending returns how many of a queue's jobs are waiting for their first
