dotterelctl retries while no entry serves

Change: a NotServing refusal, which says that this sending had no effect, makes the client try the next entry, and all of them again after the time that they ask for, for at most 10 s.

Measured: TestARequestIsRetriedWhileNoEntryServes fails before, passes now.

--- a/internal/commander/client.go
+++ b/internal/commander/client.go
@@ -18,6 +18,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/dotterelrill/dotterelrill/coder"
 	"github.com/dotterelrill/dotterelrill/messenger"
 	"github.com/dotterelrill/dotterelrill/responder"
 )
@@ -123,8 +124,16 @@
 	return refusal
 }
 
-// send tries the entries in turn and returns the first response, whatever its
-// status, or the last entry's error.
+// retryTimeout bounds for how long a request is retried while all entries answer
+// that they cannot serve it now. An election and the entries' search for the new
+// leader take a few seconds.
+const retryTimeout = 10 * time.Second
+
+// send tries the entries in turn and returns the first response that is not a
+// temporary refusal, whatever its status. If all entries refuse temporarily, it
+// waits as long as they ask for and tries them again, at most for retryTimeout.
+// It returns the last temporary refusal, or the last entry's error, if no entry
+// gave any other response.
 func (client *client) send(ctx context.Context, method, path string, query url.Values, body any) (*http.Response, error) {
 	if client.setupError != nil {
 		return nil, client.setupError
@@ -133,15 +142,63 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "encode the request")
 	}
-	err = eris.New("no entry given; use -entries")
+	deadline := time.Now().Add(retryTimeout)
+	for {
+		response, retryAfter, err := client.tryEntries(ctx, method, path, query, data)
+		if retryAfter == 0 || time.Now().Add(retryAfter).After(deadline) {
+			return response, err
+		}
+		select {
+		case <-ctx.Done():
+			return response, err
+		case <-time.After(retryAfter):
+		}
+	}
+}
+
+// tryEntries sends the request to each entry until one gives a response that is
+// not a temporary refusal. Otherwise it returns the last entry's response or
+// error, and the shortest delay that a temporary refusal asks for.
+func (client *client) tryEntries(ctx context.Context, method, path string, query url.Values, data []byte) (*http.Response, time.Duration, error) {
+	var refused *http.Response
+	retryAfter := time.Duration(0)
+	err := eris.New("no entry given; use -entries")
 	for _, entry := range client.entries {
-		var response *http.Response
-		response, err = client.sendTo(ctx, entry, method, path, query, data)
-		if err == nil {
-			return response, nil
+		response, sendErr := client.sendTo(ctx, entry, method, path, query, data)
+		if sendErr != nil {
+			err = sendErr
+			continue
+		}
+		delay := temporaryRefusalDelay(response)
+		if delay == 0 {
+			return response, 0, nil
 		}
+		refused = response
+		if retryAfter == 0 || delay < retryAfter {
+			retryAfter = delay
+		}
+	}
+	if refused != nil {
+		return refused, retryAfter, nil
+	}
+	return nil, 0, err
+}
+
+// temporaryRefusalDelay returns the delay after which to retry a request that an
+// entry refused because it cannot serve now, or zero for any other response. It
+// closes the body of a temporary refusal and replaces it by a copy.
+func temporaryRefusalDelay(response *http.Response) time.Duration {
+	if response.StatusCode != http.StatusServiceUnavailable {
+		return 0
+	}
+	data, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	response.Body = io.NopCloser(bytes.NewReader(data))
+	var answer responder.Answer
+	if err != nil || json.Unmarshal(data, &answer) != nil || answer.Code != coder.NotServing {
+		return 0
 	}
-	return nil, err
+	return time.Duration(answer.RetryAfterMillis) * time.Millisecond
 }
 
 func (client *client) sendTo(ctx context.Context, entry, method, path string, query url.Values, data []byte) (*http.Response, error) {
--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -13,6 +14,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/frankban/quicktest"
 	"github.com/labstack/echo/v4"
@@ -45,6 +47,9 @@
 	removed  []journaler.ReplicaID
 	address  string
 	pageSize int
+	// refusals is how many proposals are refused as NotServing before one is
+	// applied.
+	refusals int
 }
 
 func startFakeEntry(t *testing.T) *fakeEntry {
@@ -80,6 +85,10 @@
 }
 
 func (fakeEntry *fakeEntry) propose(_ context.Context, command *applier.Command) (applier.Result, *coder.Refusal) {
+	if fakeEntry.refusals > 0 {
+		fakeEntry.refusals--
+		return applier.Result{}, &coder.Refusal{Code: coder.NotServing, Detail: "no leader", RetryAfter: 10 * time.Millisecond, NotProposed: true}
+	}
 	command.Cell = fakeEntry.state.Cell
 	command.Time = fakeEntry.state.Now + 1
 	result := fakeEntry.state.Apply(fakeEntry.state.Index+1, command)
@@ -163,6 +172,25 @@
 	})
 }
 
+// TestARequestIsRetriedWhileNoEntryServes checks that a command succeeds although
+// every entry answers NotServing at first, as after the loss of the leader, and
+// that an entry that serves is used without a wait.
+func TestARequestIsRetriedWhileNoEntryServes(t *testing.T) {
+	c := quicktest.New(t)
+	first, second := startFakeEntry(t), startFakeEntry(t)
+	template := writeTemplate(t, deskSource)
+	entries := first.address + "," + second.address
+	first.refusals, second.refusals = 3, 2
+	status, printed := first.runControl("-entries", entries, "template", "apply", template)
+	c.Check(status, quicktest.Equals, commander.StatusOK, quicktest.Commentf("%s", printed))
+	c.Check(second.state.Templates, quicktest.HasLen, 1)
+
+	first.refusals = math.MaxInt
+	status, printed = first.runControl("-entries", entries, "key", "grant", "desk")
+	c.Check(status, quicktest.Equals, commander.StatusOK, quicktest.Commentf("%s", printed))
+	c.Check(first.refusals, quicktest.Equals, math.MaxInt-1)
+}
+
 func TestRollbackOmitsWithdrawnKeys(t *testing.T) {
 	fakeEntry := startFakeEntry(t)
 	desk := writeTemplate(t, strings.Replace(deskSource, "[Queue", "KeyHashes = "+validKey+", "+withdrawnKey+"\n[Queue", 1))
