A code of its own for an unknown wave; the unused LogFull is retired

Cause: the leader answered a question about an unknown maintenance wave with UnknownWorker. LogFull was used nowhere.

Change: UnknownWave (117), HTTP status 404 as before. Number 507 stays unused.

--- a/coder/code.go
+++ b/coder/code.go
@@ -44,6 +44,7 @@
 	BadFilter          Code = 114
 	UnknownMember      Code = 115
 	UnknownCommandKind Code = 116
+	UnknownWave        Code = 117
 )
 
 // Codes of failed authentication or authorisation. Row.NotRun tells which of
@@ -92,8 +93,8 @@
 	Internal      Code = 504
 	WrongCell     Code = 505
 	AnswerCorrupt Code = 506
-	LogFull       Code = 507
 	NotServing    Code = 508
+	// 507 is retired.
 )
 
 // Row describes one code, for the servers and for docs/CODES.md.
@@ -134,6 +135,7 @@
 	{BadFilter, "BadFilter", http.StatusBadRequest, false, false, "The filter of a listing could not be parsed."},
 	{UnknownMember, "UnknownMember", http.StatusNotFound, false, false, "No replica of the cell has this identity."},
 	{UnknownCommandKind, "UnknownCommandKind", http.StatusInternalServerError, true, false, "A log entry contains a command that this release does not support."},
+	{UnknownWave, "UnknownWave", http.StatusNotFound, false, false, "No maintenance wave has this number."},
 
 	{MissingKey, "MissingKey", http.StatusUnauthorized, true, false, "The request carries no key and the queue is not open to all."},
 	{WrongKey, "WrongKey", http.StatusForbidden, true, false, "The key does not belong to the client account."},
@@ -169,7 +171,6 @@
 	{Internal, "Internal", http.StatusInternalServerError, false, true, "Internal error; the log has the details."},
 	{WrongCell, "WrongCell", http.StatusMisdirectedRequest, true, false, "The message names another cell."},
 	{AnswerCorrupt, "AnswerCorrupt", http.StatusBadGateway, false, true, "An answer did not match its length or checksum and was discarded."},
-	{LogFull, "LogFull", http.StatusInsufficientStorage, true, true, "The cell's disk cannot store more entries."},
 	{NotServing, "NotServing", http.StatusServiceUnavailable, false, true, "The entry cannot serve the request now; the answer gives the time to retry after. This request had no effect, but an earlier one with the same RequestID may have been accepted."},
 }
 
--- a/internal/cellrunner/stagedservice.go
+++ b/internal/cellrunner/stagedservice.go
@@ -129,7 +129,7 @@
 	answer.Refusal = runner.readStaged(request.Cell, func(state *stager.State) *coder.Refusal {
 		wave := state.Waves[request.Number]
 		if wave == nil {
-			return coder.Refuse(coder.UnknownWorker, "no wave %d", request.Number)
+			return coder.Refuse(coder.UnknownWave, "no wave %d", request.Number)
 		}
 		answer.Completed = wave.Completed()
 		return nil
