launcher: Kill ends every process of the fleet

Cause: Kill went through Cells, Entries and Workers, which lack what a test starts later: TestAReplicaOutsideTheBootstrapListJoins left three replicas.

--- a/internal/launcher/formation_test.go
+++ b/internal/launcher/formation_test.go
@@ -12,6 +12,20 @@
 	"github.com/dotterelrill/dotterelrill/keyer"
 )
 
+// TestKillEndsEveryProcess checks that Kill ends a replica that was started later
+// and is not among Cells.
+func TestKillEndsEveryProcess(t *testing.T) {
+	c := qt.New(t)
+	fleet, err := launcher.Start(launcher.Config{Folder: t.TempDir(), Programs: programs, Cells: 1, Absent: 1})
+	c.Assert(err, qt.IsNil)
+	t.Cleanup(fleet.Kill)
+	later, err := fleet.StartCell("later", fleet.CellAddress[1])
+	c.Assert(err, qt.IsNil)
+	fleet.Kill()
+	c.Check(later.Alive(), qt.IsFalse)
+	c.Check(fleet.Cells[0].Alive(), qt.IsFalse)
+}
+
 // TestAReplicaOutsideTheBootstrapListJoins starts a replica whose Bootstrap
 // setting names three other replicas but not itself, at the same time as those.
 // It must join them as the fourth member without forming a cell of its own.
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -135,7 +136,7 @@
 }
 
 // StartCell starts a replica that others reach at address, with a data folder of
-// the given name. The caller adds the process to Cells.
+// the given name. The caller may add the process to Cells.
 func (fleet *Fleet) StartCell(name, address string) (*Process, error) {
 	addresses, err := FreeAddresses(1)
 	if err != nil {
@@ -204,8 +205,8 @@
 	return filepath.Join(fleet.config.Folder, name+".record")
 }
 
-// StartProgram starts a program with the given settings text. The caller adds
-// the process to Cells, Entries or Workers, so that Kill ends it.
+// StartProgram starts a program with the given settings text. The caller may add
+// the process to Cells, Entries or Workers.
 func (fleet *Fleet) StartProgram(program, name, settings string) (*Process, error) {
 	if err := os.MkdirAll(fleet.config.Folder, 0o700); err != nil {
 		return nil, eris.Wrap(err, "create the fleet's folder")
@@ -293,10 +294,14 @@
 	}
 }
 
-// Kill ends all workers, entries and replicas and closes the forwarders.
+// Kill ends all processes that the fleet started, the last one first, and closes
+// the forwarders.
 func (fleet *Fleet) Kill() {
-	for _, processes := range [][]*Process{fleet.Workers, fleet.Entries, fleet.Cells} {
-		for _, process := range processes {
+	fleet.mutex.Lock()
+	processes := slices.Clone(fleet.processes)
+	fleet.mutex.Unlock()
+	for _, process := range slices.Backward(processes) {
+		if process.pid.Load() != 0 {
 			process.Kill()
 		}
 	}
