--- a/allotter/bench_test.go
+++ b/allotter/bench_test.go
@@ -12,10 +12,16 @@
 // BenchmarkPass measures one pass over a nearly full fleet of 350 workers: 300
 // jobs are running, 10 gangs wait for room, and 30 steps wait for an adviser.
 func BenchmarkPass(b *testing.B) {
-	fixture := newFixture(&testing.T{}, 350, true)
+	for _, workers := range []int{48, 350, 1100, 2700} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) { benchmarkPass(b, workers) })
+	}
+}
+
+func benchmarkPass(b *testing.B, workers int) {
+	fixture := newFixture(&testing.T{}, workers, true)
 	size := modeller.Resources{MilliProcessors: 3000, MemoryMiB: 100}
 	fixture.endings = make(map[modeller.WorkerName][]allotter.ExpectedRelease)
-	for index := range 300 {
+	for index := range workers * 6 / 7 {
 		id := fmt.Sprint("old", index)
 		fixture.submit(id, "swap", step(2, 3, 1000))
 		worker := modeller.WorkerName(fmt.Sprintf("w%02d", index))
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -239,8 +239,13 @@
 	// The request's context is cancelled when the request returns.
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	refusal := fleet.conductor.Announce(ctx, &stager.Announcement{Worker: worker, Clock: workerClock(), Number: 1})
-	fleet.c.Assert(refusal == nil, qt.IsTrue, qt.Commentf("%v", refusal))
+	fleet.announceWorker(ctx, &stager.Announcement{Worker: worker, Clock: workerClock(), Number: 1})
+}
+
+// announceWorker sends an announcement, which must be accepted.
+func (fleet *fleet) announceWorker(ctx context.Context, announcement *stager.Announcement) {
+	refusals, refusal := fleet.conductor.AnnounceAll(ctx, []stager.Announcement{*announcement})
+	fleet.c.Assert(refusal == nil && refusals[0] == nil, qt.IsTrue, qt.Commentf("%v %v", refusal, refusals))
 }
 
 func (fleet *fleet) submit(id string, steps ...stager.Step) {
--- a/conductor/request.go
+++ b/conductor/request.go
@@ -126,21 +126,43 @@
 	return nil
 }
 
-// Announce handles a worker's announcement. It is acknowledged once a change is
+// AnnounceAll handles the announcements of several workers. It returns a refusal, or
+// nil, for each, or one refusal for all. A change is acknowledged once it is
 // committed, so that a later leader knows the worker too.
-func (conductor *Conductor) Announce(ctx context.Context, announcement *stager.Announcement) *coder.Refusal {
-	return conductor.request(ctx, func() *coder.Refusal { return conductor.handleAnnouncement(announcement) })
-}
-
-// Depart handles the announcement that a worker has ended.
-func (conductor *Conductor) Depart(ctx context.Context, announcement *stager.Announcement) *coder.Refusal {
-	return conductor.request(ctx, func() *coder.Refusal {
-		connection := conductor.connections[announcement.Worker.Name]
-		if connection != nil && (announcement.Worker.Life == 0 || announcement.Worker.Life == connection.incarnation) {
-			conductor.dropIncarnation(connection, "the worker has ended")
+func (conductor *Conductor) AnnounceAll(ctx context.Context, announcements []stager.Announcement) ([]*coder.Refusal, *coder.Refusal) {
+	refusals := make([]*coder.Refusal, len(announcements))
+	refusal := conductor.request(ctx, func() *coder.Refusal {
+		for at := range announcements {
+			if announcements[at].Gone {
+				conductor.depart(&announcements[at])
+			} else {
+				refusals[at] = conductor.handleAnnouncement(&announcements[at])
+			}
 		}
 		return nil
 	})
+	if refusal != nil {
+		return nil, refusal
+	}
+	return refusals, nil
+}
+
+// depart handles the announcement that a worker has ended. It names no incarnation
+// where the platform's does not, and may have been delayed until a later incarnation
+// has begun under the same name. Unless this one has announced that it is leaving,
+// the announcement is ignored, and the worker's lease decides about what it runs.
+func (conductor *Conductor) depart(announcement *stager.Announcement) {
+	connection := conductor.connections[announcement.Worker.Name]
+	if connection == nil || announcement.Worker.Life != 0 && announcement.Worker.Life != connection.incarnation {
+		return
+	}
+	worker := conductor.state.Workers[connection.name]
+	if len(connection.attempts) > 0 && announcement.Worker.Life == 0 && (worker == nil || !worker.Leaving) {
+		logger.Warn(conductor.config.Logger, "end of a worker ignored that did not announce to leave", "Worker", connection.name,
+			"Life", int64(connection.incarnation), "Live", len(connection.attempts))
+		return
+	}
+	conductor.dropIncarnation(connection, "the worker has ended")
 }
 
 // Advise handles an adviser's answer. It does not wait.
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -1,4 +1,4 @@
-// Package gatherer batches the heartbeats that reach an entry within a short
+// Package gatherer batches the heartbeats that reach a process within a short
 // time into one request to the leader.
 //
 // Each heartbeat waits at most Config.Wait for others, and gets its own answer
@@ -11,11 +11,10 @@
 	"time"
 
 	"github.com/dotterelrill/dotterelrill/coder"
-	"github.com/dotterelrill/dotterelrill/messenger"
 )
 
 // Config describes a Gatherer.
-type Config struct {
+type Config[Heartbeat, Answer any] struct {
 	// Wait is how long the first heartbeat of a batch waits for others.
 	Wait time.Duration
 	// MaxBatch is the maximum number of heartbeats in one request.
@@ -24,36 +23,36 @@
 	Timeout time.Duration
 	// Send sends heartbeats to the leader and returns one answer for each, in
 	// the same order.
-	Send func(ctx context.Context, heartbeats []messenger.Heartbeat) ([]messenger.HeartbeatAnswer, *coder.Refusal)
+	Send func(ctx context.Context, heartbeats []Heartbeat) ([]Answer, *coder.Refusal)
 }
 
 // Gatherer batches heartbeats. It is safe for concurrent use.
-type Gatherer struct {
-	config Config
-	queue  chan *pendingHeartbeat
+type Gatherer[Heartbeat, Answer any] struct {
+	config Config[Heartbeat, Answer]
+	queue  chan *pendingHeartbeat[Heartbeat, Answer]
 }
 
 // pendingHeartbeat is a heartbeat that waits for its answer.
-type pendingHeartbeat struct {
-	heartbeat *messenger.Heartbeat
-	result    chan heartbeatResult
+type pendingHeartbeat[Heartbeat, Answer any] struct {
+	heartbeat *Heartbeat
+	result    chan heartbeatResult[Answer]
 }
 
-type heartbeatResult struct {
-	answer  *messenger.HeartbeatAnswer
+type heartbeatResult[Answer any] struct {
+	answer  *Answer
 	refusal *coder.Refusal
 }
 
 // New returns a gatherer. Heartbeats are answered only while Run is running.
-func New(config Config) *Gatherer {
-	return &Gatherer{config: config, queue: make(chan *pendingHeartbeat, config.MaxBatch)}
+func New[Heartbeat, Answer any](config Config[Heartbeat, Answer]) *Gatherer[Heartbeat, Answer] {
+	return &Gatherer[Heartbeat, Answer]{config: config, queue: make(chan *pendingHeartbeat[Heartbeat, Answer], config.MaxBatch)}
 }
 
 // Beat sends a heartbeat to the leader in the next batch and returns its answer.
 // When the context ends, the refusal is Overloaded if the heartbeat was not
 // queued yet, and Unknown if it was.
-func (gatherer *Gatherer) Beat(ctx context.Context, heartbeat *messenger.Heartbeat) (*messenger.HeartbeatAnswer, *coder.Refusal) {
-	queued := &pendingHeartbeat{heartbeat: heartbeat, result: make(chan heartbeatResult, 1)}
+func (gatherer *Gatherer[Heartbeat, Answer]) Beat(ctx context.Context, heartbeat *Heartbeat) (*Answer, *coder.Refusal) {
+	queued := &pendingHeartbeat[Heartbeat, Answer]{heartbeat: heartbeat, result: make(chan heartbeatResult[Answer], 1)}
 	select {
 	case gatherer.queue <- queued:
 	case <-ctx.Done():
@@ -68,7 +67,7 @@
 }
 
 // Run batches and sends heartbeats until the context ends.
-func (gatherer *Gatherer) Run(ctx context.Context) {
+func (gatherer *Gatherer[Heartbeat, Answer]) Run(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -81,8 +80,8 @@
 
 // collect returns a batch of the first heartbeat and those that arrive within
 // the wait, up to the maximum.
-func (gatherer *Gatherer) collect(ctx context.Context, first *pendingHeartbeat) []*pendingHeartbeat {
-	batch := []*pendingHeartbeat{first}
+func (gatherer *Gatherer[Heartbeat, Answer]) collect(ctx context.Context, first *pendingHeartbeat[Heartbeat, Answer]) []*pendingHeartbeat[Heartbeat, Answer] {
+	batch := []*pendingHeartbeat[Heartbeat, Answer]{first}
 	timer := time.NewTimer(gatherer.config.Wait)
 	defer timer.Stop()
 	for len(batch) < gatherer.config.MaxBatch {
@@ -98,10 +97,10 @@
 	return batch
 }
 
-func (gatherer *Gatherer) send(ctx context.Context, batch []*pendingHeartbeat) {
+func (gatherer *Gatherer[Heartbeat, Answer]) send(ctx context.Context, batch []*pendingHeartbeat[Heartbeat, Answer]) {
 	ctx, cancel := context.WithTimeout(ctx, gatherer.config.Timeout)
 	defer cancel()
-	heartbeats := make([]messenger.Heartbeat, len(batch))
+	heartbeats := make([]Heartbeat, len(batch))
 	for index := range batch {
 		heartbeats[index] = *batch[index].heartbeat
 	}
@@ -111,9 +110,9 @@
 	}
 	for index := range batch {
 		if refusal != nil {
-			batch[index].result <- heartbeatResult{refusal: refusal}
+			batch[index].result <- heartbeatResult[Answer]{refusal: refusal}
 			continue
 		}
-		batch[index].result <- heartbeatResult{answer: &answers[index]}
+		batch[index].result <- heartbeatResult[Answer]{answer: &answers[index]}
 	}
 }
--- a/gatherer/gatherer_test.go
+++ b/gatherer/gatherer_test.go
@@ -19,7 +19,7 @@
 
 // sendHeartbeats sends the heartbeats of count workers concurrently and returns
 // the answers and refusals in the order of the workers.
-func sendHeartbeats(t *testing.T, count int, config gatherer.Config) ([]*messenger.HeartbeatAnswer, []*coder.Refusal) {
+func sendHeartbeats(t *testing.T, count int, config gatherer.Config[messenger.Heartbeat, messenger.HeartbeatAnswer]) ([]*messenger.HeartbeatAnswer, []*coder.Refusal) {
 	config.Wait = 20 * time.Millisecond
 	config.Timeout = testTimeout
 	gatherer := gatherer.New(config)
@@ -46,7 +46,7 @@
 	const count, maxBatch = 200, 16
 	var mutex sync.Mutex
 	requests, largest := 0, 0
-	answers, _ := sendHeartbeats(t, count, gatherer.Config{MaxBatch: maxBatch, Send: func(_ context.Context, heartbeats []messenger.Heartbeat) ([]messenger.HeartbeatAnswer, *coder.Refusal) {
+	answers, _ := sendHeartbeats(t, count, gatherer.Config[messenger.Heartbeat, messenger.HeartbeatAnswer]{MaxBatch: maxBatch, Send: func(_ context.Context, heartbeats []messenger.Heartbeat) ([]messenger.HeartbeatAnswer, *coder.Refusal) {
 		mutex.Lock()
 		defer mutex.Unlock()
 		requests++
@@ -67,7 +67,7 @@
 
 func TestEachHeartbeatGetsTheRefusal(t *testing.T) {
 	c := quicktest.New(t)
-	_, refusals := sendHeartbeats(t, 5, gatherer.Config{MaxBatch: 8, Send: func(context.Context, []messenger.Heartbeat) ([]messenger.HeartbeatAnswer, *coder.Refusal) {
+	_, refusals := sendHeartbeats(t, 5, gatherer.Config[messenger.Heartbeat, messenger.HeartbeatAnswer]{MaxBatch: 8, Send: func(context.Context, []messenger.Heartbeat) ([]messenger.HeartbeatAnswer, *coder.Refusal) {
 		return nil, coder.Refuse(coder.NoQuorum, "no quorum")
 	}})
 	for _, refusal := range refusals {
@@ -78,7 +78,7 @@
 
 func TestMissingAnswersAreRefused(t *testing.T) {
 	c := quicktest.New(t)
-	answers, refusals := sendHeartbeats(t, 3, gatherer.Config{MaxBatch: 8, Send: func(context.Context, []messenger.Heartbeat) ([]messenger.HeartbeatAnswer, *coder.Refusal) {
+	answers, refusals := sendHeartbeats(t, 3, gatherer.Config[messenger.Heartbeat, messenger.HeartbeatAnswer]{MaxBatch: 8, Send: func(context.Context, []messenger.Heartbeat) ([]messenger.HeartbeatAnswer, *coder.Refusal) {
 		return nil, nil
 	}})
 	for index := range answers {
--- a/internal/cellrunner/relay.go
+++ b/internal/cellrunner/relay.go
@@ -71,7 +71,10 @@
 			Job:      refuseStaged[messenger.StagedJobRequest](relay),
 			Deploy:   refuseStaged[messenger.DeployRequest](relay),
 			Announce: refuseStaged[messenger.AnnounceRequest](relay),
-			Advise:   refuseStaged[messenger.AdviseRequest](relay),
+			AnnounceAll: func(context.Context, *messenger.AnnounceAllRequest) (*messenger.AnnounceAllReply, error) {
+				return &messenger.AnnounceAllReply{Refusal: relay.notLeader()}, nil
+			},
+			Advise: refuseStaged[messenger.AdviseRequest](relay),
 			Deployed: func(context.Context, *messenger.DeployedRequest) (*messenger.DeployedReply, error) {
 				return &messenger.DeployedReply{Refusal: relay.notLeader()}, nil
 			},
--- a/internal/cellrunner/stagedservice.go
+++ b/internal/cellrunner/stagedservice.go
@@ -15,14 +15,15 @@
 // stagedServer returns the handlers of the calls about staged jobs.
 func (runner *Runner) stagedServer() messenger.StagedServer {
 	return messenger.StagedServer{
-		Submit:    runner.stagedSubmit,
-		Job:       runner.stagedJob,
-		Deploy:    runner.deploy,
-		Deployed:  runner.deployed,
-		Announce:  runner.announce,
-		Advise:    runner.advise,
-		Wave:      runner.wave,
-		Inquiries: runner.inquiries,
+		Submit:      runner.stagedSubmit,
+		Job:         runner.stagedJob,
+		Deploy:      runner.deploy,
+		Deployed:    runner.deployed,
+		Announce:    runner.announce,
+		AnnounceAll: runner.announceAll,
+		Advise:      runner.advise,
+		Wave:        runner.wave,
+		Inquiries:   runner.inquiries,
 	}
 }
 
@@ -98,14 +99,25 @@
 }
 
 func (runner *Runner) announce(ctx context.Context, request *messenger.AnnounceRequest) (*messenger.StagedReply, error) {
+	announcement := request.Announcement
+	announcement.Gone = request.Gone
+	reply, err := runner.announceAll(ctx, &messenger.AnnounceAllRequest{Cell: request.Cell, Announcements: []stager.Announcement{announcement}})
+	if err != nil {
+		return nil, err
+	}
+	if reply.Refusal == nil {
+		reply.Refusal = reply.Refusals[0]
+	}
+	return stagedReply(reply.Refusal)
+}
+
+func (runner *Runner) announceAll(ctx context.Context, request *messenger.AnnounceAllRequest) (*messenger.AnnounceAllReply, error) {
 	conductor, refusal := runner.requireConductor(request.Cell)
 	if refusal != nil {
-		return stagedReply(refusal)
-	}
-	if request.Gone {
-		return stagedReply(conductor.Depart(ctx, &request.Announcement))
+		return &messenger.AnnounceAllReply{Refusal: refusal}, nil
 	}
-	return stagedReply(conductor.Announce(ctx, &request.Announcement))
+	refusals, refusal := conductor.AnnounceAll(ctx, request.Announcements)
+	return &messenger.AnnounceAllReply{Refusal: refusal, Refusals: refusals}, nil
 }
 
 func (runner *Runner) advise(_ context.Context, request *messenger.AdviseRequest) (*messenger.StagedReply, error) {
--- a/internal/entryrunner/runner.go
+++ b/internal/entryrunner/runner.go
@@ -30,7 +30,7 @@
 	certifier *certifier.Certifier
 	workers   *workerserver.Client
 	limiter   *limiter.Limiter
-	gatherer  *gatherer.Gatherer
+	gatherer  *gatherer.Gatherer[messenger.Heartbeat, messenger.HeartbeatAnswer]
 	// configuration is nil until the first one is received. Its revision never
 	// decreases.
 	configuration atomic.Pointer[messenger.Configuration]
@@ -68,7 +68,7 @@
 		cancelWaits: cancelWaits,
 		metrics:     newEntryMetrics(),
 	}
-	runner.gatherer = gatherer.New(gatherer.Config{Wait: heartbeatBatchWait, MaxBatch: maxHeartbeatBatch, Timeout: heartbeatBatchTimeout, Send: runner.sendHeartbeats})
+	runner.gatherer = gatherer.New(gatherer.Config[messenger.Heartbeat, messenger.HeartbeatAnswer]{Wait: heartbeatBatchWait, MaxBatch: maxHeartbeatBatch, Timeout: heartbeatBatchTimeout, Send: runner.sendHeartbeats})
 	return runner
 }
 
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -13,7 +13,6 @@
 package locator
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -27,14 +26,13 @@
 
 	"github.com/dotterelrill/dotterelrill/coder"
 	"github.com/dotterelrill/dotterelrill/messenger"
-	"github.com/dotterelrill/dotterelrill/modeller"
 )
 
 // Backoff between rounds over the replicas, and timeouts of single tries.
 const (
-	initialBackoff    = 20 * time.Millisecond
-	defaultMaxBackoff = 500 * time.Millisecond
-	// defaultTryTimeout applies if Config.TryTimeout is zero.
+	initialBackoff = 20 * time.Millisecond
+	maxBackoff     = 500 * time.Millisecond
+	// defaultTryTimeout keeps a paused replica from blocking a call.
 	defaultTryTimeout = 2 * time.Second
 	// unresponsiveTryTimeout applies to a replica whose last call was not
 	// answered, so that it delays the other replicas less.
@@ -47,12 +45,6 @@
 	Addresses []string
 	// Transport secures the connections; nil means no TLS.
 	Transport credentials.TransportCredentials
-	// TryTimeout is the timeout of one try, so that a paused replica does not
-	// block a call; zero means 2 seconds.
-	TryTimeout time.Duration
-	// MaxBackoff is the maximum backoff between two rounds over the replicas;
-	// zero means 500 milliseconds.
-	MaxBackoff time.Duration
 }
 
 // Locator finds the leader. It is safe for concurrent use.
@@ -127,13 +119,16 @@
 }
 
 // MarkUnresponsive marks a replica as unresponsive although its connection is
-// intact, as after a network partition or while its process is paused.
+// intact, as after a network cut or while its process is paused. The connection
+// is closed, since it may stay silent for good while a new one works.
 func (locator *Locator) MarkUnresponsive(client messenger.CellClient) {
 	locator.mutex.Lock()
 	defer locator.mutex.Unlock()
 	for address, connection := range locator.connections {
 		if connection == client.Connection {
 			locator.unresponsive[address] = true
+			delete(locator.connections, address)
+			_ = connection.Close()
 		}
 	}
 }
@@ -152,11 +147,10 @@
 func (locator *Locator) tryTimeout(address string) time.Duration {
 	locator.mutex.Lock()
 	defer locator.mutex.Unlock()
-	timeout := cmp.Or(locator.config.TryTimeout, defaultTryTimeout)
 	if locator.unresponsive[address] {
-		return min(unresponsiveTryTimeout, timeout)
+		return unresponsiveTryTimeout
 	}
-	return timeout
+	return defaultTryTimeout
 }
 
 // client returns a client of the replica at the address. It creates the
@@ -199,7 +193,7 @@
 func (locator *Locator) Call(ctx context.Context, try Try) *coder.Refusal {
 	delay := backoff.NewExponentialBackOff(
 		backoff.WithInitialInterval(initialBackoff),
-		backoff.WithMaxInterval(cmp.Or(locator.config.MaxBackoff, defaultMaxBackoff)),
+		backoff.WithMaxInterval(maxBackoff),
 		backoff.WithMaxElapsedTime(0),
 	)
 	maybeLogged := false
@@ -248,7 +242,7 @@
 		return coder.Refuse(coder.Unknown, "no reply before the deadline; retry with the same RequestID")
 	}
 	refusal := coder.Refuse(coder.NotServing, "no replica of the cell could accept the request")
-	refusal.RetryAfter = defaultMaxBackoff
+	refusal.RetryAfter = maxBackoff
 	return refusal
 }
 
@@ -287,22 +281,3 @@
 	}
 	return tryResult{decided: true, refusal: refusal}
 }
-
-// Leader returns a client of the leader, for opening streams. It queries the
-// replicas until one answers as the leader or the context ends; the error is
-// then a *coder.Refusal.
-func (locator *Locator) Leader(ctx context.Context, cell modeller.CellName) (messenger.CellClient, error) {
-	var leader messenger.CellClient
-	refusal := locator.Call(ctx, func(ctx context.Context, client messenger.CellClient) (*coder.Refusal, error) {
-		reply, err := client.Query(ctx, &messenger.QueryRequest{Cell: cell})
-		if err != nil {
-			return nil, err
-		}
-		leader = client
-		return reply.Refusal, nil
-	})
-	if refusal != nil {
-		return leader, refusal
-	}
-	return leader, nil
-}
--- a/messenger/service.go
+++ b/messenger/service.go
@@ -79,6 +79,9 @@
 		unary("Deploy", func(server *CellServer) unaryMethod[DeployRequest, StagedReply] { return server.Staged.Deploy }),
 		unary("Deployed", func(server *CellServer) unaryMethod[DeployedRequest, DeployedReply] { return server.Staged.Deployed }),
 		unary("Announce", func(server *CellServer) unaryMethod[AnnounceRequest, StagedReply] { return server.Staged.Announce }),
+		unary("AnnounceAll", func(server *CellServer) unaryMethod[AnnounceAllRequest, AnnounceAllReply] {
+			return server.Staged.AnnounceAll
+		}),
 		unary("Advise", func(server *CellServer) unaryMethod[AdviseRequest, StagedReply] { return server.Staged.Advise }),
 		unary("Wave", func(server *CellServer) unaryMethod[WaveRequest, WaveReply] { return server.Staged.Wave }),
 	},
--- a/messenger/staged.go
+++ b/messenger/staged.go
@@ -14,9 +14,12 @@
 	Job      func(ctx context.Context, request *StagedJobRequest) (*StagedReply, error)
 	Deploy   func(ctx context.Context, request *DeployRequest) (*StagedReply, error)
 	Deployed func(ctx context.Context, request *DeployedRequest) (*DeployedReply, error)
-	Announce func(ctx context.Context, request *AnnounceRequest) (*StagedReply, error)
-	Advise   func(ctx context.Context, request *AdviseRequest) (*StagedReply, error)
-	Wave     func(ctx context.Context, request *WaveRequest) (*WaveReply, error)
+	// Announce serves processes of earlier releases, which send each announcement
+	// by itself.
+	Announce    func(ctx context.Context, request *AnnounceRequest) (*StagedReply, error)
+	AnnounceAll func(ctx context.Context, request *AnnounceAllRequest) (*AnnounceAllReply, error)
+	Advise      func(ctx context.Context, request *AdviseRequest) (*StagedReply, error)
+	Wave        func(ctx context.Context, request *WaveRequest) (*WaveReply, error)
 	// Inquiries sends the leader's inquiries to advisers until the context or
 	// the replica's leadership ends.
 	Inquiries func(ctx context.Context, request *InquiriesRequest, send func(*InquiryMessage) error) error
@@ -95,6 +98,19 @@
 	Gone bool `cbor:",omitzero"`
 }
 
+// AnnounceAllRequest forwards the announcements of several workers.
+type AnnounceAllRequest struct {
+	Cell          modeller.CellName
+	Announcements []stager.Announcement
+}
+
+// AnnounceAllReply holds the leader's refusal of the request or, in the order of
+// the announcements, its refusal of each; nil means that it was accepted.
+type AnnounceAllReply struct {
+	Refusal  *coder.Refusal   `cbor:",omitempty"`
+	Refusals []*coder.Refusal `cbor:",omitempty"`
+}
+
 // AdviseRequest forwards an adviser's answer.
 type AdviseRequest struct {
 	Cell   modeller.CellName
@@ -153,9 +169,9 @@
 	return call[DeployedRequest, DeployedReply](ctx, client.Connection, "/"+cellService+"/Deployed", request)
 }
 
-// Announce calls the Announce method of the Cell service.
-func (client CellClient) Announce(ctx context.Context, request *AnnounceRequest) (*StagedReply, error) {
-	return call[AnnounceRequest, StagedReply](ctx, client.Connection, "/"+cellService+"/Announce", request)
+// AnnounceAll calls the AnnounceAll method of the Cell service.
+func (client CellClient) AnnounceAll(ctx context.Context, request *AnnounceAllRequest) (*AnnounceAllReply, error) {
+	return call[AnnounceAllRequest, AnnounceAllReply](ctx, client.Connection, "/"+cellService+"/AnnounceAll", request)
 }
 
 // Advise calls the Advise method of the Cell service.
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -24,6 +25,9 @@
 type replica struct {
 	address      string
 	unresponsive atomic.Bool
+	// delay is how long the replica takes to reply to a submission, in nanoseconds;
+	// submissions and queries count the calls.
+	delay, submissions, queries atomic.Int64
 	// follower is true while the replica does not lead.
 	follower atomic.Bool
 	// inquiries are sent to the relayer that follows the leader.
@@ -40,10 +44,13 @@
 	replica.server = server
 	(&messenger.CellServer{
 		Query: func(ctx context.Context, _ *messenger.QueryRequest) (*messenger.QueryReply, error) {
+			replica.queries.Add(1)
 			return &messenger.QueryReply{Refusal: replica.refusal()}, replica.waitIfUnresponsive(ctx)
 		},
 		Staged: messenger.StagedServer{
 			Submit: func(ctx context.Context, _ *messenger.StagedSubmitRequest) (*messenger.StagedReply, error) {
+				replica.submissions.Add(1)
+				time.Sleep(time.Duration(replica.delay.Load()))
 				return &messenger.StagedReply{Refusal: replica.refusal()}, replica.waitIfUnresponsive(ctx)
 			},
 			Advise: func(_ context.Context, request *messenger.AdviseRequest) (*messenger.StagedReply, error) {
@@ -97,7 +104,7 @@
 }
 
 func startRelayer(ctx context.Context, c *qt.C, address string) *relayer.Relayer {
-	leaderLocator := locator.New(locator.Config{Addresses: []string{address}, TryTimeout: relayer.TryTimeout, MaxBackoff: relayer.MaxBackoff})
+	leaderLocator := locator.New(locator.Config{Addresses: []string{address}})
 	c.Cleanup(leaderLocator.Close)
 	relayer := relayer.New(relayer.Config{
 		Cell: "main", Locator: leaderLocator, Logger: log.NewNopLogger(),
@@ -130,28 +137,151 @@
 	c.Check(elapsed < time.Second, qt.IsTrue, qt.Commentf("%s", elapsed))
 }
 
+// awaitServed submits jobs until one is served.
+func awaitServed(c *qt.C, relayer *relayer.Relayer) {
+	served := false
+	for until := time.Now().Add(5 * time.Second); !served && time.Now().Before(until); {
+		refusal, _ := submit(relayer)
+		served = refusal == nil
+	}
+	c.Assert(served, qt.IsTrue)
+}
+
 // TestUnresponsiveLeaderIsAbandoned freezes the leader, with its connections open.
-// Requests must not wait for it until their deadline.
+// Requests must not wait for it until their deadline. One that was sent to it may
+// have been accepted; one that comes later is sent to nobody.
 func TestUnresponsiveLeaderIsAbandoned(t *testing.T) {
 	c := qt.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	leader := startReplica(ctx, c)
 	relayer := startRelayer(ctx, c, leader.address)
-	served := false
-	for until := time.Now().Add(5 * time.Second); !served && time.Now().Before(until); {
-		refusal, _ := submit(relayer)
-		served = refusal == nil
-	}
-	c.Assert(served, qt.IsTrue)
+	awaitServed(c, relayer)
 	leader.unresponsive.Store(true)
-	time.Sleep(1500 * time.Millisecond)
 	refusal, elapsed := submit(relayer)
 	c.Assert(refusal != nil, qt.IsTrue)
 	c.Check(refusal.Code, qt.Equals, coder.Unknown, qt.Commentf("the leader may have accepted the request"))
+	c.Check(elapsed < 2500*time.Millisecond, qt.IsTrue, qt.Commentf("%s", elapsed))
+	refusal, elapsed = submit(relayer)
+	c.Assert(refusal != nil, qt.IsTrue)
+	c.Check(refusal.Code, qt.Equals, coder.NotServing, qt.Commentf("no replica received the request"))
 	c.Check(elapsed < time.Second, qt.IsTrue, qt.Commentf("%s", elapsed))
 }
 
+// TestASlowLeaderGetsARequestOnce has a leader that takes longer than its heartbeat
+// timeout to decide. A request that came again meanwhile would add to the load that
+// makes the leader slow.
+func TestASlowLeaderGetsARequestOnce(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	leader := startReplica(ctx, c)
+	relayer := startRelayer(ctx, c, leader.address)
+	awaitServed(c, relayer)
+	leader.submissions.Store(0)
+	leader.delay.Store(int64(1500 * time.Millisecond))
+	refusal, _ := submit(relayer)
+	c.Check(refusal == nil, qt.IsTrue, qt.Commentf("%v", refusal))
+	c.Check(leader.submissions.Load(), qt.Equals, int64(1))
+}
+
+// TestWaitingRequestsShareOneSearch lets 300 requests wait while no replica leads.
+// They must cost the replicas no more calls than the one search, which asks at most
+// every 15 ms, whatever their number.
+func TestWaitingRequestsShareOneSearch(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	follower := startReplica(ctx, c)
+	follower.follower.Store(true)
+	relayer := startRelayer(ctx, c, follower.address)
+	startedAt := time.Now()
+	var group sync.WaitGroup
+	for range 300 {
+		group.Go(func() { submit(relayer) })
+	}
+	group.Wait()
+	c.Check(follower.submissions.Load(), qt.Equals, int64(0))
+	c.Check(follower.queries.Load() <= int64(time.Since(startedAt)/(15*time.Millisecond))+1, qt.IsTrue, qt.Commentf("%d queries", follower.queries.Load()))
+}
+
+// TestASilentConnectionIsReplaced makes the open connection to the leader silent for
+// good, as a lost path does, while new connections work.
+func TestASilentConnectionIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	leader := startReplica(ctx, c)
+	path := startPath(ctx, c, leader.address)
+	relayer := startRelayer(ctx, c, path.address)
+	awaitServed(c, relayer)
+	path.silence()
+	startedAt := time.Now()
+	awaitServed(c, relayer)
+	c.Check(time.Since(startedAt) < 4*time.Second, qt.IsTrue, qt.Commentf("%s", time.Since(startedAt)))
+}
+
+// path forwards TCP connections to a replica until they are made silent.
+type path struct {
+	address string
+	mutex   sync.Mutex
+	// silent holds, for each open connection, whether its bytes are dropped.
+	silent []*atomic.Bool
+}
+
+func startPath(ctx context.Context, c *qt.C, target string) *path {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = listener.Close() })
+	path := &path{address: listener.Addr().String()}
+	go func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			far, err := (&net.Dialer{}).DialContext(ctx, "tcp", target)
+			if err != nil {
+				_ = near.Close()
+				continue
+			}
+			silent := new(atomic.Bool)
+			path.mutex.Lock()
+			path.silent = append(path.silent, silent)
+			path.mutex.Unlock()
+			go forwardBytes(near, far, silent)
+			go forwardBytes(far, near, silent)
+		}
+	}()
+	return path
+}
+
+// silence drops all further bytes of the connections that are open now.
+func (path *path) silence() {
+	path.mutex.Lock()
+	defer path.mutex.Unlock()
+	for _, silent := range path.silent {
+		silent.Store(true)
+	}
+}
+
+func forwardBytes(from, to net.Conn, silent *atomic.Bool) {
+	defer func() { _ = to.Close() }()
+	buffer := make([]byte, 4096)
+	for {
+		count, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		if silent.Load() {
+			continue
+		}
+		if _, err := to.Write(buffer[:count]); err != nil {
+			return
+		}
+	}
+}
+
 func TestInquiriesAreAnsweredByTheAdviser(t *testing.T) {
 	c := qt.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -178,12 +308,7 @@
 	first, second := startReplica(ctx, c), startReplica(ctx, c)
 	second.follower.Store(true)
 	relayer := startRelayer(ctx, c, first.address)
-	served := false
-	for until := time.Now().Add(5 * time.Second); !served && time.Now().Before(until); {
-		refusal, _ := submit(relayer)
-		served = refusal == nil
-	}
-	c.Assert(served, qt.IsTrue)
+	awaitServed(c, relayer)
 	// A leader sends the addresses of the replicas to the relayers that follow it.
 	first.inquiries <- &messenger.InquiryMessage{Replicas: []string{second.address}}
 	time.Sleep(50 * time.Millisecond)
--- a/stager/message.go
+++ b/stager/message.go
@@ -15,6 +15,8 @@
 	Number uint64
 	// Remaining is the minimum time for which a leaving worker keeps running.
 	Remaining modeller.Millis
+	// Gone is true if the worker process has ended.
+	Gone bool `cbor:",omitzero"`
 }
 
 // Inquiry is a question to an adviser, with the time that its answer should
