Descriptors are rationed; a new leader probes 100 workers at a time

Cause: on the large site a replica had up to 4 connections to each of 1,100 workers, more than it may have open, and ended by itself: 'open /data/cell: too many open files'. A new leader opened a connection to every worker at the same moment, for probes that time out after 300 ms, and again after each failure.

Probes in flight are bounded, workers with tasks come first.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -106,7 +106,11 @@
 	// pass.
 	sortedConnections []*connection
 	candidateBuffer   []allotter.Candidate
-	approvals         map[stager.StepID]*approval
+	// probesInFlight counts the probes in flight; queuedProbes are the connections
+	// whose probe waits until there are fewer, in the order in which to send them.
+	probesInFlight int
+	queuedProbes   []*connection
+	approvals      map[stager.StepID]*approval
 	// trends estimate the run times of each queue's tasks.
 	trends map[modeller.QueueName]*estimator.Trend
 	// startedAt is when Run began, on Clock.
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -49,6 +49,13 @@
 	// to end; startCancelled is true if that context was cancelled.
 	blockedStart   chan struct{}
 	startCancelled bool
+	// holdOrder lists the workers of all holds in the order of their sending;
+	// holdsInFlight and maxHolds are how many are on their way to a worker, now and at
+	// most.
+	holdOrder               []modeller.WorkerName
+	holdsInFlight, maxHolds int
+	// holdGate delays holds until it is closed; nil delays none.
+	holdGate chan struct{}
 	// lostHolds is how many of the next holds with a wait get no answer.
 	lostHolds int
 	// onBatch is called with each batch that is committed, if it is set.
@@ -73,7 +80,10 @@
 
 // newFleet starts a conductor from a state, or from a new one with a
 // deployment.
-func newFleet(t *testing.T, state *stager.State) *fleet {
+func newFleet(t *testing.T, state *stager.State) *fleet { return newGatedFleet(t, state, nil) }
+
+// newGatedFleet is newFleet with a holdGate.
+func newGatedFleet(t *testing.T, state *stager.State, holdGate chan struct{}) *fleet {
 	c := qt.New(t)
 	if state == nil {
 		state = stager.New()
@@ -82,7 +92,7 @@
 		}}), qt.IsNil)
 	}
 	fleet := &fleet{
-		c: c, state: state, runEnded: make(chan error, 1), lead: true,
+		c: c, state: state, runEnded: make(chan error, 1), lead: true, holdGate: holdGate,
 		running: make(map[modeller.WorkerName]map[string]conductor.StartOrder), endings: make(map[modeller.WorkerName][]conductor.EndedAttempt),
 		acknowledged: make(map[modeller.WorkerName]uint64),
 		percent:      make(map[modeller.WorkerName]int),
@@ -191,8 +201,18 @@
 }
 
 func (fleet *fleet) hold(ctx context.Context, target conductor.Target, order *conductor.HoldOrder) conductor.HoldAnswer {
+	fleet.mutex.Lock()
+	fleet.holdOrder = append(fleet.holdOrder, target.Worker)
+	fleet.holdsInFlight++
+	fleet.maxHolds = max(fleet.maxHolds, fleet.holdsInFlight)
+	gate := fleet.holdGate
+	fleet.mutex.Unlock()
+	if gate != nil {
+		<-gate
+	}
 	time.Sleep(5 * time.Millisecond)
 	fleet.mutex.Lock()
+	fleet.holdsInFlight--
 	if fleet.lostHolds > 0 && order.Wait > 0 {
 		fleet.lostHolds--
 		fleet.mutex.Unlock()
--- a/conductor/connection.go
+++ b/conductor/connection.go
@@ -59,8 +59,10 @@
 	// flight; nextHoldAt and nextProbeAt are the earliest times of the next ones.
 	holdInFlight  bool
 	probeInFlight bool
-	nextProbeAt   time.Duration
-	nextHoldAt    time.Duration
+	// probeQueued is true while a probe waits in queuedProbes.
+	probeQueued bool
+	nextProbeAt time.Duration
+	nextHoldAt  time.Duration
 	// committedEnding is the number of the last ending that is committed;
 	// acknowledgedEnding is the last such number that was acknowledged to the
 	// worker.
@@ -88,8 +90,9 @@
 // takeOverState takes over the workers and attempts in the committed state. The
 // workers are asked for the state of the attempts.
 func (conductor *Conductor) takeOverState() {
-	for _, name := range slices.Sorted(maps.Keys(conductor.state.Workers)) {
-		connection := conductor.connect(conductor.state.Workers[name])
+	for _, worker := range conductor.workersInTakeoverOrder() {
+		name := worker.Name
+		connection := conductor.connect(worker)
 		connection.uncontacted = true
 		for _, id := range conductor.state.LiveOn(name) {
 			job := conductor.state.Jobs[id.Job]
@@ -104,6 +107,20 @@
 	}
 }
 
+// workersInTakeoverOrder returns the workers by name, those with attempts first: they
+// have to be reached before their leases expire.
+func (conductor *Conductor) workersInTakeoverOrder() []*stager.Worker {
+	return slices.SortedFunc(maps.Values(conductor.state.Workers), func(left, right *stager.Worker) int {
+		if leftBusy := left.LiveCount() > 0; leftBusy != (right.LiveCount() > 0) {
+			if leftBusy {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(left.Name, right.Name)
+	})
+}
+
 func (conductor *Conductor) connect(worker *stager.Worker) *connection {
 	ctx, cancel := context.WithCancel(conductor.callContext)
 	connection := &connection{callContext: ctx, cancelCalls: cancel, name: worker.Name, incarnation: worker.Life, address: worker.Address, lastContact: conductor.config.Clock(), unresponsive: true, attempts: make(map[stager.TaskID]*attempt)}
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -23,6 +23,10 @@
 	// idleProbeDelay is the delay after an unanswered probe of a worker that runs
 	// nothing.
 	idleProbeDelay = 500 * time.Millisecond
+	// maxProbesInFlight bounds the probes in flight. A new leader probes every worker:
+	// the connections of a thousand workers, opened at once, take longer than a probe
+	// may.
+	maxProbesInFlight = 100
 )
 
 // ensureHold keeps one hold, a long poll, in flight to a worker that runs
@@ -130,11 +134,16 @@
 // known yet may be at the address: an acknowledgement would make it discard its
 // own endings, and a renewal would let it run on under the old one's lease.
 func (conductor *Conductor) probe(connection *connection) {
-	now := conductor.config.Clock()
-	if connection.probeInFlight || now < connection.nextProbeAt {
+	if connection.probeInFlight || connection.probeQueued || conductor.config.Clock() < connection.nextProbeAt {
+		return
+	}
+	if conductor.probesInFlight >= maxProbesInFlight {
+		connection.probeQueued = true
+		conductor.queuedProbes = append(conductor.queuedProbes, connection)
 		return
 	}
 	connection.probeInFlight = true
+	conductor.probesInFlight++
 	target, ctx, order := connection.target(), connection.callContext, &HoldOrder{Fence: conductor.state.Term}
 	go func() {
 		callCtx, cancel := context.WithTimeout(ctx, holdTimeout)
@@ -144,8 +153,23 @@
 	}()
 }
 
+// sendQueuedProbe sends the next probe that had to wait, unless it is not needed any
+// more.
+func (conductor *Conductor) sendQueuedProbe() {
+	for len(conductor.queuedProbes) > 0 && conductor.probesInFlight < maxProbesInFlight {
+		connection := conductor.queuedProbes[0]
+		conductor.queuedProbes = conductor.queuedProbes[1:]
+		connection.probeQueued = false
+		if conductor.connections[connection.name] == connection && connection.unresponsive {
+			conductor.probe(connection)
+		}
+	}
+}
+
 func (conductor *Conductor) handleProbeAnswer(connection *connection, holdAnswer HoldAnswer) {
 	connection.probeInFlight = false
+	conductor.probesInFlight--
+	conductor.sendQueuedProbe()
 	conductor.instruments.countCall("probe", holdAnswer.Answer)
 	if !conductor.checkIncarnation(connection, holdAnswer) {
 		return
--- /dev/null
+++ b/rationer/rationer.go
@@ -0,0 +1,138 @@
+// Package rationer owns the division of a process's file descriptors among the
+// things that need them, so that no load from outside can take those that the
+// process itself cannot do without.
+//
+// The log and the connections to other replicas come first, then the connections
+// of workers and operators, then those to workers. A Quota enforces one part:
+// at its limit a listener stops accepting, and a dialer waits, until a connection
+// closes. Neither fails the process.
+package rationer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// Ration is the number of descriptors for each purpose.
+type Ration struct {
+	// Inner is for connections of other processes of the system, Control for those
+	// of workers and operators, and Workers for those to workers.
+	Inner, Control, Workers int
+}
+
+const (
+	// reservedDescriptors are kept for the log, for listeners, standard output and
+	// the runtime, and for files outside the data folder.
+	reservedDescriptors = 300
+	// Inner and Control get one in innerDivisor and controlDivisor of the rest.
+	innerDivisor   = 4
+	controlDivisor = 4
+	// minRation keeps a process with a very low limit working.
+	minRation = 16
+)
+
+// Divide divides the descriptors that a process may have open.
+func Divide(descriptors int) Ration {
+	rest := max(descriptors-reservedDescriptors, 0)
+	ration := Ration{Inner: max(rest/innerDivisor, minRation), Control: max(rest/controlDivisor, minRation)}
+	ration.Workers = max(rest-ration.Inner-ration.Control, minRation)
+	return ration
+}
+
+// Quota bounds the connections of one purpose. It is safe for concurrent use.
+type Quota struct {
+	slots chan struct{}
+	// Waited counts the connections that had to wait for a slot.
+	Waited atomic.Int64
+	// OnFull, if set, is called when a connection has to wait. It must not block.
+	OnFull func()
+}
+
+// NewQuota returns a quota of limit connections.
+func NewQuota(limit int) *Quota { return &Quota{slots: make(chan struct{}, limit)} }
+
+// Open returns how many connections are open.
+func (quota *Quota) Open() int { return len(quota.slots) }
+
+// acquire takes a slot. It returns the context's error, or net.ErrClosed if closed
+// is closed first.
+func (quota *Quota) acquire(ctx context.Context, closed <-chan struct{}) error {
+	select {
+	case quota.slots <- struct{}{}:
+		return nil
+	default:
+	}
+	quota.Waited.Add(1)
+	if quota.OnFull != nil {
+		quota.OnFull()
+	}
+	select {
+	case quota.slots <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-closed:
+		return net.ErrClosed
+	}
+}
+
+func (quota *Quota) release() { <-quota.slots }
+
+// Dial calls dial once a slot is free, and keeps the slot until the connection is
+// closed. Its errors are those of dial and of the context.
+func (quota *Quota) Dial(ctx context.Context, dial func(context.Context) (net.Conn, error)) (net.Conn, error) {
+	if err := quota.acquire(ctx, nil); err != nil {
+		return nil, err
+	}
+	dialled, err := dial(ctx)
+	if err != nil {
+		quota.release()
+		return nil, err
+	}
+	return &connection{Conn: dialled, release: sync.OnceFunc(quota.release)}, nil
+}
+
+// Listener returns a listener that accepts a connection only once a slot is free.
+func (quota *Quota) Listener(inner net.Listener) net.Listener {
+	return &listener{Listener: inner, quota: quota, closed: make(chan struct{})}
+}
+
+type listener struct {
+	net.Listener
+	quota     *Quota
+	closed    chan struct{}
+	closeOnce sync.Once
+}
+
+// Accept implements net.Listener.
+func (listener *listener) Accept() (net.Conn, error) {
+	if err := listener.quota.acquire(context.Background(), listener.closed); err != nil {
+		return nil, err
+	}
+	accepted, err := listener.Listener.Accept()
+	if err != nil {
+		listener.quota.release()
+		return nil, err
+	}
+	return &connection{Conn: accepted, release: sync.OnceFunc(listener.quota.release)}, nil
+}
+
+// Close implements net.Listener.
+func (listener *listener) Close() error {
+	listener.closeOnce.Do(func() { close(listener.closed) })
+	return listener.Listener.Close()
+}
+
+// connection returns its slot when it is closed.
+type connection struct {
+	net.Conn
+	release func()
+}
+
+// Close implements net.Conn.
+func (connection *connection) Close() error {
+	defer connection.release()
+	return connection.Conn.Close()
+}
