--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -198,7 +198,7 @@
 	startedAt := time.Now()
 	var group sync.WaitGroup
 	for range 300 {
-		group.Go(func() { submit(relayer) })
+		group.Go(func() { _, _ = submit(relayer) })
 	}
 	group.Wait()
 	c.Check(follower.submissions.Load(), qt.Equals, int64(0))
