A question about many workers is asked in parts, by several processes

A gang of more than 100 tasks could never get tickets for all its workers at once. An answer of the adviser cost a look at every process for each waiting inquiry, thousands after a lost leader, and inquiries of jobs that had ended were still asked.

Change: a question may name 300 workers. The conductor divides it into parts of 40 or more for idle processes, which ask at the same time, at most a quarter of them for one question. A step is considered again with each part. Inquiries that are no longer needed are withdrawn; dispatching stops where no process is free.

TestTheLargeFleetServesItsUsualLoad and TestABurstPassesWithoutHarm hold the users' targets; TestThousandsOfWaitingInquiriesCostLittle.

--- a/allotter/ask.go
+++ b/allotter/ask.go
@@ -49,8 +49,8 @@
 	return defaultQuestionWorkers
 }
 
-// maxQuestionWorkers is how many workers an adviser accepts in one question.
-const maxQuestionWorkers = 100
+// maxQuestionWorkers bounds the workers of a question, which the owner may divide.
+const maxQuestionWorkers = 300
 
 // ask asks for new tickets of the approved workers that the step would be
 // placed on, and about unknown workers if those do not suffice. Until the answer
--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -10,11 +10,14 @@
 	"github.com/dotterelrill/dotterelrill/stager"
 )
 
-// approval holds the adviser's decisions about a step, and when the inquiry in
-// flight about it was sent.
+// approval holds the adviser's decisions about a step, and the inquiries in flight
+// about it.
 type approval struct {
 	allotter.Approval
-	askedAt time.Duration
+	// parts are the inquiries in flight; lastPart numbers the latest one.
+	parts    map[uint32]struct{}
+	lastPart uint32
+	askedAt  time.Duration
 	// retryAt is the earliest time to ask again after a failed inquiry.
 	retryAt time.Duration
 }
@@ -24,6 +27,14 @@
 	// call to the worker.
 	ticketMargin      = 200 * time.Millisecond
 	inquiryRetryDelay = 200 * time.Millisecond
+	// maxInquiryWorkers is how many workers an adviser accepts in one inquiry.
+	maxInquiryWorkers = 100
+	// partWorkers is how many workers each part of a question names at least, if it
+	// is divided among idle processes: an adviser's time grows with them, but has a
+	// fixed part too.
+	partWorkers = 40
+	// idlePartDivisor is the share of the idle processes that one question may take.
+	idlePartDivisor = 4
 )
 
 func (conductor *Conductor) approval(step stager.StepID) *approval {
@@ -32,14 +43,15 @@
 		known = &approval{Approval: allotter.Approval{
 			Tickets: make(map[modeller.WorkerName]allotter.Ticket),
 			Refused: make(map[modeller.WorkerName]stager.Incarnation),
-		}}
+		}, parts: make(map[uint32]struct{})}
 		conductor.approvals[step] = known
 	}
 	return known
 }
 
-// ask passes a question to the adviser of the job's queue, unless it has to
-// wait for a retry.
+// ask passes a question to the adviser of the job's queue, unless it has to wait for a
+// retry. A question about many workers is divided into parts, which several processes
+// ask at the same time.
 func (conductor *Conductor) ask(question allotter.Question) {
 	approval := conductor.approval(question.Step)
 	job := conductor.state.Jobs[question.Step.Job]
@@ -48,22 +60,47 @@
 	if adviserTiming == nil || now < approval.retryAt {
 		return
 	}
-	answerTime := adviserTiming.AnswerTime(len(question.Workers))
-	if !conductor.config.Ask(stager.Inquiry{Step: question.Step, Workers: question.Workers, Takes: answerTime, Urgency: question.Urgency, Latest: question.Latest}) {
-		approval.retryAt = now + inquiryRetryDelay
-		return
+	for workers := range slices.Chunk(question.Workers, conductor.partSize(len(question.Workers))) {
+		approval.lastPart++
+		inquiry := stager.Inquiry{
+			Step: question.Step, Part: approval.lastPart, Workers: workers, Takes: adviserTiming.AnswerTime(len(workers)), Urgency: question.Urgency, Latest: question.Latest,
+		}
+		if !conductor.config.Ask(inquiry) {
+			approval.retryAt = now + inquiryRetryDelay
+			return
+		}
+		approval.parts[inquiry.Part] = struct{}{}
+		approval.Asking, approval.askedAt = true, now
+	}
+}
+
+// partSize returns how many workers each inquiry of a question names.
+func (conductor *Conductor) partSize(workers int) int {
+	parts := ceilDivide(workers, maxInquiryWorkers)
+	if conductor.config.IdleAdvisers != nil {
+		parts = max(parts, min(ceilDivide(workers, partWorkers), conductor.config.IdleAdvisers()/idlePartDivisor))
 	}
-	approval.Asking, approval.askedAt = true, now
+	return max(1, ceilDivide(workers, max(1, parts)))
+}
+
+func ceilDivide(dividend, divisor int) int { return (dividend + divisor - 1) / divisor }
+
+// endPart records that an inquiry was answered or lost. The step is considered again
+// with what is known by then.
+func (approval *approval) endPart(part uint32) {
+	delete(approval.parts, part)
+	approval.ClearQuestion()
+	approval.Asking = len(approval.parts) > 0
 }
 
 // handleAdvice records an adviser's answer.
 func (conductor *Conductor) handleAdvice(advice *stager.Advice) {
-	conductor.config.Answered(advice.Step)
+	conductor.config.Answered(advice.ID())
 	approval := conductor.approvals[advice.Step]
 	if approval == nil {
 		return
 	}
-	approval.ClearQuestion()
+	approval.endPart(advice.Part)
 	conductor.placementPending = true
 	now := conductor.config.Clock()
 	if advice.Failed {
@@ -96,16 +133,21 @@
 // expireInquiries drops inquiries that will get no answer, and the approvals of
 // steps that no longer need advice.
 func (conductor *Conductor) expireInquiries() {
-	for _, step := range conductor.config.Lost() {
-		if approval := conductor.approvals[step]; approval != nil && approval.Asking {
-			approval.ClearQuestion()
-			logger.Warn(conductor.config.Logger, "advice did not come", "Step", step.String(), "AskedMillisAgo", (conductor.config.Clock() - approval.askedAt).Milliseconds())
+	for _, id := range conductor.config.Lost() {
+		approval := conductor.approvals[id.Step]
+		if approval == nil {
+			continue
+		}
+		if _, inFlight := approval.parts[id.Part]; inFlight {
+			approval.endPart(id.Part)
+			logger.Warn(conductor.config.Logger, "advice did not come", "Step", id.Step.String(), "AskedMillisAgo", (conductor.config.Clock() - approval.askedAt).Milliseconds())
 		}
 	}
 	for step := range conductor.approvals {
 		job := conductor.state.Jobs[step.Job]
 		if job == nil || job.Over() || job.Undone(step.Occurrence, step.Step) == 0 {
 			delete(conductor.approvals, step)
+			conductor.config.Withdraw(step)
 		}
 	}
 }
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -61,11 +61,16 @@
 	// reach an adviser is connected; otherwise the answer comes through Advise.
 	Ask func(stager.Inquiry) bool
 	// Answered is called for each answer that arrives, and Lost returns the
-	// inquiries that will get no answer.
-	Answered func(stager.StepID)
-	Lost     func() []stager.StepID
-	Settings Settings
-	Logger   log.Logger
+	// inquiries that will get no answer. Withdraw drops the inquiries about a step
+	// that were not sent yet.
+	Answered func(stager.InquiryID)
+	Lost     func() []stager.InquiryID
+	Withdraw func(stager.StepID)
+	// IdleAdvisers returns how many processes could pass an inquiry to an adviser at
+	// once.
+	IdleAdvisers func() int
+	Settings     Settings
+	Logger       log.Logger
 	// Metrics is where metrics are registered; if it is nil, they are not
 	// exported.
 	Metrics *metrics.Set
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -111,8 +111,9 @@
 		Stop:     fleet.stop,
 		Hold:     fleet.hold,
 		Ask:      func(stager.Inquiry) bool { return false },
-		Answered: func(stager.StepID) {},
-		Lost:     func() []stager.StepID { return nil },
+		Answered: func(stager.InquiryID) {},
+		Lost:     func() []stager.InquiryID { return nil },
+		Withdraw: func(stager.StepID) {},
 		Settings: conductor.Settings{Lease: lease, StaleAfter: time.Minute, GangWait: time.Second},
 		Logger:   log.NewNopLogger(),
 	})
--- a/conductor/load_test.go
+++ b/conductor/load_test.go
@@ -108,7 +108,7 @@
 	rig.inquirer = inquirer.New(inquirer.Config{Clock: rig.clock})
 	rig.conductor = conductor.New(conductor.Config{
 		State: copied, Clock: rig.clock, Now: rig.now, Leads: func() bool { return true }, Propose: rig.propose,
-		Start: rig.start, Stop: rig.stop, Hold: rig.hold, Ask: rig.inquirer.Ask, Answered: rig.inquirer.Answered, Lost: rig.inquirer.Lost,
+		Start: rig.start, Stop: rig.stop, Hold: rig.hold, Ask: rig.inquirer.Ask, Answered: rig.inquirer.Answered, Lost: rig.inquirer.Lost, Withdraw: rig.inquirer.Withdraw, IdleAdvisers: rig.inquirer.Idle,
 		Settings: conductor.Settings{Lease: 6 * time.Second, StaleAfter: 4 * time.Second, GangWait: 5 * time.Second}, Logger: log.NewNopLogger(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -226,7 +226,7 @@
 // ones for each question about the step.
 func (rig *loadRig) advice(inquiry *stager.Inquiry) *stager.Advice {
 	good := classOf(inquiry.Step.Job).good
-	advice := &stager.Advice{Step: inquiry.Step, Asked: inquiry.Workers}
+	advice := &stager.Advice{Step: inquiry.Step, Part: inquiry.Part, Asked: inquiry.Workers}
 	for _, name := range inquiry.Workers {
 		if approves(inquiry.Step, name, good) {
 			ticket := stager.Ticket(fmt.Sprint(time.Now().Add(ticketValidity).UnixMilli()))
@@ -365,6 +365,19 @@
 	return text
 }
 
+// firstStarts returns within what time half and 95 of 100 of the jobs that have started
+// were given their first start.
+func (rig *loadRig) firstStarts() (half, most time.Duration) {
+	rig.mutex.Lock()
+	defer rig.mutex.Unlock()
+	var all []time.Duration
+	for _, waits := range rig.waits {
+		all = append(all, waits...)
+	}
+	slices.Sort(all)
+	return all[len(all)/2], all[len(all)*95/100]
+}
+
 // onTime returns the share of the jobs of a class that ended on time, of those that
 // have ended or whose time is over.
 func (rig *loadRig) onTime(class *loadClass) float64 {
@@ -379,24 +392,33 @@
 	return float64(result.onTime) / float64(max(1, result.ended+overdue))
 }
 
-// TestTheLargeFleetServesItsUsualLoad plays the load of 1,100 workers.
+// TestTheLargeFleetServesItsUsualLoad plays the load of 1,100 workers, of whose room 80%
+// is used. Half of the jobs must start within 120 ms and 95 of 100 within 1.5 s, the
+// users' target.
 func TestTheLargeFleetServesItsUsualLoad(t *testing.T) {
+	c := qt.New(t)
 	rig := newLoadRig(t)
-	rig.play(t.Context(), 15*time.Second, 1)
+	rig.play(t.Context(), 8*time.Second, 1)
 	t.Log("\n" + rig.report())
-	for at := range loadClasses {
-		t.Logf("%s %.3f", loadClasses[at].queue, rig.onTime(&loadClasses[at]))
-	}
+	half, most := rig.firstStarts()
+	c.Check(half <= 120*time.Millisecond, qt.IsTrue, qt.Commentf("half within %s", half))
+	c.Check(most <= 1500*time.Millisecond, qt.IsTrue, qt.Commentf("95%% within %s", most))
 }
 
-// TestABurstOfGangsDoesNotStallTheLeader trial
-func TestABurstOfGangsDoesNotStallTheLeader(t *testing.T) {
+// TestABurstPassesWithoutHarm plays a burst of all jobs at the highest rate of the
+// deployment's days. At least 78% of each class must be on time, the users' target for
+// days with trouble, and the short urgent jobs must not wait for the wide ones.
+func TestABurstPassesWithoutHarm(t *testing.T) {
+	c := qt.New(t)
 	rig := newLoadRig(t)
-	rig.play(t.Context(), 5*time.Second, 1)
-	rig.play(t.Context(), 5*time.Second, 2.2)
-	rig.play(t.Context(), 10*time.Second, 1)
+	rig.play(t.Context(), 3*time.Second, 1)
+	rig.play(t.Context(), 4*time.Second, 2.3)
+	rig.play(t.Context(), 8*time.Second, 1)
 	t.Log("\n" + rig.report())
 	for at := range loadClasses {
-		t.Logf("%s %.3f", loadClasses[at].queue, rig.onTime(&loadClasses[at]))
+		onTime := rig.onTime(&loadClasses[at])
+		c.Check(onTime >= 0.78, qt.IsTrue, qt.Commentf("%s: %.3f on time", loadClasses[at].queue, onTime))
 	}
+	half, _ := rig.firstStarts()
+	c.Check(half <= 120*time.Millisecond, qt.IsTrue, qt.Commentf("half within %s", half))
 }
--- a/inquirer/inquirer.go
+++ b/inquirer/inquirer.go
@@ -54,7 +54,7 @@
 	// waiting is sorted by urgency.
 	waiting []*stager.Inquiry
 	// lost are inquiries of processes that detached.
-	lost []stager.StepID
+	lost []stager.InquiryID
 }
 
 type process struct {
@@ -104,7 +104,7 @@
 	inquirer.mutex.Lock()
 	defer inquirer.mutex.Unlock()
 	for _, sentInquiry := range detached.inFlight {
-		inquirer.lost = append(inquirer.lost, sentInquiry.inquiry.Step)
+		inquirer.lost = append(inquirer.lost, sentInquiry.inquiry.ID())
 	}
 	inquirer.processes = slices.DeleteFunc(inquirer.processes, func(process *process) bool { return process == detached })
 	inquirer.dispatch()
@@ -128,18 +128,18 @@
 }
 
 // Answered records that the answer to an inquiry has arrived.
-func (inquirer *Inquirer) Answered(step stager.StepID) {
+func (inquirer *Inquirer) Answered(id stager.InquiryID) {
 	inquirer.mutex.Lock()
 	defer inquirer.mutex.Unlock()
 	for _, process := range inquirer.processes {
-		process.inFlight = slices.DeleteFunc(process.inFlight, func(sentInquiry *sentInquiry) bool { return sentInquiry.inquiry.Step == step })
+		process.inFlight = slices.DeleteFunc(process.inFlight, func(sentInquiry *sentInquiry) bool { return sentInquiry.inquiry.ID() == id })
 	}
 	inquirer.dispatch()
 }
 
 // Lost returns the inquiries that were lost since the last call, including
 // those whose answer is overdue.
-func (inquirer *Inquirer) Lost() []stager.StepID {
+func (inquirer *Inquirer) Lost() []stager.InquiryID {
 	inquirer.mutex.Lock()
 	defer inquirer.mutex.Unlock()
 	lost := inquirer.lost
@@ -148,9 +148,9 @@
 	for _, process := range inquirer.processes {
 		for _, sentInquiry := range process.inFlight {
 			if now > sentInquiry.deadline && sentInquiry.inquiry.Takes > 0 {
-				lost = append(lost, sentInquiry.inquiry.Step)
+				lost = append(lost, sentInquiry.inquiry.ID())
 				// The inquiry still counts against its process until the answer arrives.
-				sentInquiry.inquiry = &stager.Inquiry{Step: sentInquiry.inquiry.Step}
+				sentInquiry.inquiry = &stager.Inquiry{Step: sentInquiry.inquiry.Step, Part: sentInquiry.inquiry.Part}
 			}
 		}
 	}
@@ -158,29 +158,77 @@
 	return lost
 }
 
-// dispatch sends the waiting inquiries for which a process is free.
+// Withdraw drops the inquiries about a step that were not sent yet: the step no longer
+// needs them.
+func (inquirer *Inquirer) Withdraw(step stager.StepID) {
+	inquirer.mutex.Lock()
+	defer inquirer.mutex.Unlock()
+	inquirer.waiting = slices.DeleteFunc(inquirer.waiting, func(inquiry *stager.Inquiry) bool { return inquiry.Step == step })
+}
+
+// Idle returns how many processes have no inquiry, beyond those that are kept free of
+// long ones; it is zero while inquiries wait.
+func (inquirer *Inquirer) Idle() int {
+	inquirer.mutex.Lock()
+	defer inquirer.mutex.Unlock()
+	if len(inquirer.waiting) > 0 {
+		return 0
+	}
+	idle := 0
+	for _, process := range inquirer.processes {
+		if len(process.inFlight) == 0 {
+			idle++
+		}
+	}
+	return max(0, idle-len(inquirer.processes)+inquirer.maxLong())
+}
+
+// maxLong returns how many processes may have a long inquiry.
+func (inquirer *Inquirer) maxLong() int {
+	return len(inquirer.processes) - (len(inquirer.processes)+shortReserveDivisor-1)/shortReserveDivisor
+}
+
+// dispatch sends the waiting inquiries for which a process is free. Once none is free
+// for a short or a long one, the others of that kind are passed over: thousands may
+// wait.
 func (inquirer *Inquirer) dispatch() {
-	for at := 0; at < len(inquirer.waiting); {
-		inquiry := inquirer.waiting[at]
+	var shortFull, longFull bool
+	kept := inquirer.waiting[:0]
+	for _, inquiry := range inquirer.waiting {
+		full := &shortFull
+		if inquiry.Takes >= minLongDuration {
+			full = &longFull
+		}
+		if *full {
+			kept = append(kept, inquiry)
+			continue
+		}
 		process := inquirer.chooseProcess(inquiry)
 		if process == nil {
-			at++
+			*full = true
+			kept = append(kept, inquiry)
 			continue
 		}
-		inquirer.waiting = slices.Delete(inquirer.waiting, at, at+1)
-		deadline := inquirer.config.Clock() + overdueMargin + inquiry.Takes
-		for _, sentInquiry := range process.inFlight {
-			deadline += sentInquiry.inquiry.Takes
-		}
-		process.inFlight = append(process.inFlight, &sentInquiry{inquiry: inquiry, deadline: deadline})
-		process.queued <- inquiry
+		inquirer.send(process, inquiry)
+	}
+	clear(inquirer.waiting[len(kept):])
+	inquirer.waiting = kept
+}
+
+// send queues an inquiry for its process.
+func (inquirer *Inquirer) send(process *process, inquiry *stager.Inquiry) {
+	deadline := inquirer.config.Clock() + overdueMargin + inquiry.Takes
+	for _, sentInquiry := range process.inFlight {
+		deadline += sentInquiry.inquiry.Takes
 	}
+	process.inFlight = append(process.inFlight, &sentInquiry{inquiry: inquiry, deadline: deadline})
+	process.queued <- inquiry
 }
 
 // chooseProcess returns a process for the inquiry, or nil if none is free for
 // it.
 func (inquirer *Inquirer) chooseProcess(inquiry *stager.Inquiry) *process {
-	maxInFlight, maxLong := 1, len(inquirer.processes)-(len(inquirer.processes)+shortReserveDivisor-1)/shortReserveDivisor
+	maxInFlight := 1
 	long := inquiry.Takes >= minLongDuration
 	if !long {
 		maxInFlight = maxShortInFlight
@@ -196,7 +244,7 @@
 			best = process
 		}
 	}
-	if long && withLong >= max(1, maxLong) {
+	if long && withLong >= max(1, inquirer.maxLong()) {
 		return nil
 	}
 	return best
--- a/inquirer/inquirer_test.go
+++ b/inquirer/inquirer_test.go
@@ -60,7 +60,7 @@
 	probe := newInquiry(0, short, 0)
 	for until := time.Now().Add(2 * time.Second); time.Now().Before(until); time.Sleep(time.Millisecond) {
 		if asker.Ask(probe) {
-			asker.Answered(probe.Step)
+			asker.Answered(probe.ID())
 			return
 		}
 	}
@@ -82,7 +82,7 @@
 	asker.Ask(newInquiry(3, short, 90))
 	asker.Ask(newInquiry(4, short, 10))
 	expectNone(c, got)
-	asker.Answered(stager.StepID{Job: "1"})
+	asker.Answered(stager.InquiryID{Step: stager.StepID{Job: "1"}})
 	c.Check(next(c, got).Job, qt.Equals, stager.JobID("4"))
 }
 
@@ -127,10 +127,49 @@
 	next(c, got)
 	c.Check(asker.Lost(), qt.HasLen, 0)
 	now = 2 * time.Second
-	c.Check(asker.Lost(), qt.DeepEquals, []stager.StepID{{Job: "1"}}, qt.Commentf("overdue"))
+	c.Check(asker.Lost(), qt.DeepEquals, []stager.InquiryID{{Step: stager.StepID{Job: "1"}}}, qt.Commentf("overdue"))
 	c.Check(asker.Lost(), qt.HasLen, 0)
 	cancel()
 	for until := time.Now().Add(2 * time.Second); asker.Ask(newInquiry(2, long, 0)) && time.Now().Before(until); time.Sleep(time.Millisecond) {
 	}
 	c.Check(len(asker.Lost()) > 0, qt.IsTrue)
 }
+
+// TestThousandsOfWaitingInquiriesCostLittle lets 3,000 inquiries wait, as after a lost
+// leader on a large deployment. An answer must not cost a look at every process for each
+// of them; the bound is a hundred times what it takes then.
+func TestThousandsOfWaitingInquiriesCostLittle(t *testing.T) {
+	c := qt.New(t)
+	asker := inquirer.New(inquirer.Config{Clock: func() time.Duration { return 0 }})
+	for range 150 {
+		_, cancel := attach(asker)
+		defer cancel()
+	}
+	waitUntilAttached(c, asker)
+	time.Sleep(50 * time.Millisecond)
+	for number := 1; number <= 3000; number++ {
+		asker.Ask(newInquiry(number, long, 1))
+	}
+	startedAt := time.Now()
+	for range 100 {
+		asker.Answered(stager.InquiryID{Step: stager.StepID{Job: "unknown"}})
+	}
+	c.Check(time.Since(startedAt) < 100*time.Millisecond, qt.IsTrue, qt.Commentf("%s for 100 answers", time.Since(startedAt)))
+	c.Check(asker.Idle(), qt.Equals, 0)
+}
+
+func TestAWithdrawnInquiryIsNotSent(t *testing.T) {
+	c := qt.New(t)
+	asker := inquirer.New(inquirer.Config{Clock: func() time.Duration { return 0 }})
+	got, cancel := attach(asker)
+	defer cancel()
+	waitUntilAttached(c, asker)
+	next(c, got)
+	for number := 1; number <= 3; number++ {
+		asker.Ask(newInquiry(number, long, modeller.Millis(number)))
+	}
+	c.Check(next(c, got).Job, qt.Equals, stager.JobID("1"))
+	asker.Withdraw(stager.StepID{Job: "2"})
+	asker.Answered(stager.InquiryID{Step: stager.StepID{Job: "1"}})
+	c.Check(next(c, got).Job, qt.Equals, stager.JobID("3"))
+}
--- a/internal/cellrunner/staged.go
+++ b/internal/cellrunner/staged.go
@@ -90,20 +90,22 @@
 		return eris.Errorf("epoch %d was superseded by epoch %d", epoch, state.Term)
 	}
 	conductor := conductor.New(conductor.Config{
-		State:    state,
-		Clock:    runner.clock,
-		Now:      runner.now,
-		Leads:    runner.node.Load().Leads,
-		Propose:  leadership.enqueueBatch,
-		Start:    runner.workerCalls.Start,
-		Stop:     runner.workerCalls.Stop,
-		Hold:     runner.workerCalls.Hold,
-		Ask:      leadership.stagedService.inquirer.Ask,
-		Answered: leadership.stagedService.inquirer.Answered,
-		Lost:     leadership.stagedService.inquirer.Lost,
-		Settings: runner.settings.Staged,
-		Logger:   runner.logger,
-		Metrics:  runner.counters.set,
+		State:        state,
+		Clock:        runner.clock,
+		Now:          runner.now,
+		Leads:        runner.node.Load().Leads,
+		Propose:      leadership.enqueueBatch,
+		Start:        runner.workerCalls.Start,
+		Stop:         runner.workerCalls.Stop,
+		Hold:         runner.workerCalls.Hold,
+		Ask:          leadership.stagedService.inquirer.Ask,
+		Answered:     leadership.stagedService.inquirer.Answered,
+		Lost:         leadership.stagedService.inquirer.Lost,
+		Withdraw:     leadership.stagedService.inquirer.Withdraw,
+		IdleAdvisers: leadership.stagedService.inquirer.Idle,
+		Settings:     runner.settings.Staged,
+		Logger:       runner.logger,
+		Metrics:      runner.counters.set,
 	})
 	leadership.stagedService.conductor.Store(conductor)
 	return conductor.Run(leadership.ctx)
--- a/stager/message.go
+++ b/stager/message.go
@@ -19,10 +19,18 @@
 	Gone bool `cbor:",omitzero"`
 }
 
+// InquiryID identifies an inquiry.
+type InquiryID struct {
+	Step StepID
+	// Part counts the inquiries about the step.
+	Part uint32
+}
+
 // Inquiry is a question to an adviser, with the time that its answer should
 // take.
 type Inquiry struct {
 	Step    StepID
+	Part    uint32 `cbor:",omitzero"`
 	Workers []modeller.WorkerName
 	Takes   time.Duration
 	// Urgency and Latest order the inquiries in the same way as the waiting
@@ -31,14 +39,21 @@
 	Latest  modeller.Millis
 }
 
+// ID returns the identity of the inquiry.
+func (inquiry *Inquiry) ID() InquiryID { return InquiryID{Step: inquiry.Step, Part: inquiry.Part} }
+
 // Advice is an adviser's answer. Failed is true if the inquiry got no answer.
 type Advice struct {
 	Step    StepID
+	Part    uint32 `cbor:",omitzero"`
 	Asked   []modeller.WorkerName
 	Tickets []WorkerTicket
 	Failed  bool
 }
 
+// ID returns the identity of the inquiry that was answered.
+func (advice *Advice) ID() InquiryID { return InquiryID{Step: advice.Step, Part: advice.Part} }
+
 // WorkerTicket is an adviser's permission to run a step on the named worker.
 type WorkerTicket struct {
 	Worker modeller.WorkerName
