--- a/internal/logger/ring.go
+++ b/internal/logger/ring.go
@@ -12,6 +12,10 @@
 	ringCapacity = 8192
 	// flushTimeout bounds how long Close waits for the reader.
 	flushTimeout = time.Second
+	// Lines that are logged within gatherDelay share one write, up to
+	// maxGatheredBytes.
+	gatherDelay      = 10 * time.Millisecond
+	maxGatheredBytes = 64 << 10
 )
 
 // Ring is a writer that passes lines on to another writer without blocking on
@@ -47,14 +51,38 @@
 		if line == nil {
 			return
 		}
+		text, closed := ring.gather(line)
 		// An error of the log's own output cannot be reported anywhere.
-		_, _ = ring.out.Write(line)
+		_, _ = ring.out.Write(text)
+		if closed {
+			return
+		}
 		if count := ring.dropped.Swap(0); count > 0 {
 			_, _ = fmt.Fprintf(ring.out, "{\"Message\":\"log lines dropped\",\"Count\":%d,\"level\":\"warn\"}\n", count)
 		}
 	}
 }
 
+// gather waits a moment for more lines and returns them with the first one, as one
+// text for one write. It reports whether the ring was closed meanwhile.
+func (ring *Ring) gather(first []byte) ([]byte, bool) {
+	timer := time.NewTimer(gatherDelay)
+	defer timer.Stop()
+	text := first
+	for len(text) < maxGatheredBytes {
+		select {
+		case line := <-ring.lines:
+			if line == nil {
+				return text, true
+			}
+			text = append(text, line...)
+		case <-timer.C:
+			return text, false
+		}
+	}
+	return text, false
+}
+
 // Close writes the buffered lines, as far as the reader accepts them within a
 // second. No line may be written after it.
 func (ring *Ring) Close() {
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -27,8 +27,8 @@
 	// the runtime, and for files outside the data folder.
 	reservedDescriptors = 300
 	// Inner and Control get one in innerDivisor and controlDivisor of the rest.
-	innerDivisor   = 4
-	controlDivisor = 4
+	innerDivisor   = 8
+	controlDivisor = 8
 	// minRation keeps a process with a very low limit working.
 	minRation = 16
 )
