A start that never left is told from one whose answer was lost

Tasks whose start never left waited for a lease as if they might run.

Change: the outcome NotSent, known from whether the call got a connection; a single task is placed elsewhere at once, a gang's start is sent again. Starts that were on their way together count as one failure.

--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -40,6 +40,8 @@
 	callInFlight bool
 	nextCallAt   time.Duration
 	startsSent   int
+	// startSentAt is when the last start was sent.
+	startSentAt time.Duration
 	// stopping is true once the attempt is to be stopped; stopAcknowledgedAt is
 	// when the worker acknowledged the stop, or zero.
 	stopping           bool
@@ -166,6 +168,7 @@
 	}
 	attempt.state, attempt.callInFlight, attempt.resumed = sent, true, order.Saved != ""
 	attempt.startsSent++
+	attempt.startSentAt = conductor.config.Clock()
 	timeout := startTimeout * time.Duration(attempt.startsSent)
 	target, ctx := connection.target(), connection.callContext
 	go func() {
@@ -201,18 +204,39 @@
 		conductor.handleStartRejection(connection, attempt, answer)
 	case Unanswered:
 		attempt.startUnconfirmed = true
-		conductor.markUnresponsive(connection, "start", answer)
-		conductor.recordFailure(connection, "a start was not answered")
-		if attempt.startsSent >= maxStarts {
-			conductor.stopAttempt(connection, attempt, "its start was not answered")
-		} else {
-			conductor.reconcile(connection, attempt)
+		conductor.handleUnansweredStart(connection, attempt, answer)
+	case NotSent:
+		if !attempt.startUnconfirmed {
+			attempt.state = committed
 		}
+		conductor.handleUnansweredStart(connection, attempt, answer)
 	case Replaced:
 		conductor.dropIncarnation(connection, "another incarnation answers at its address")
 	}
 }
 
+// handleUnansweredStart handles a start that the worker may carry out later, or one
+// that could not be sent. It is sent again a few times; only a single task whose start
+// never left this process is placed elsewhere at once. Starts that were on their way at
+// the same time count as one failure of the worker: they may have waited for the same
+// answer.
+func (conductor *Conductor) handleUnansweredStart(connection *connection, attempt *attempt, answer Answer) {
+	conductor.markUnresponsive(connection, "start", answer)
+	if attempt.startSentAt >= connection.startFailedAt {
+		connection.startFailedAt = conductor.config.Clock()
+		conductor.recordFailure(connection, "a start was not answered")
+	}
+	job := conductor.state.Jobs[attempt.id.Job]
+	switch {
+	case attempt.state == committed && !job.Steps[attempt.id.Step].Gang:
+		conductor.endAttempt(connection, attempt, stager.Refusing, "")
+	case attempt.startsSent >= maxStarts:
+		conductor.stopAttempt(connection, attempt, "its start was not answered")
+	default:
+		conductor.reconcile(connection, attempt)
+	}
+}
+
 // handleStartRejection handles a start that the worker rejected. If an earlier
 // start was not answered, that one may still be carried out, so the attempt is
 // stopped.
@@ -269,7 +293,7 @@
 		conductor.ensureHold(connection)
 	case Replaced:
 		conductor.dropIncarnation(connection, "another incarnation answers at its address")
-	case Unanswered:
+	case Unanswered, NotSent:
 		conductor.markUnresponsive(connection, "stop", answer)
 		attempt.nextCallAt = conductor.config.Clock() + stopRetryDelay
 	default:
--- a/conductor/connection.go
+++ b/conductor/connection.go
@@ -73,6 +73,8 @@
 	// failureStreak counts consecutive failures attributed to the worker; until
 	// avoidUntil it gets no new work because of them.
 	failureStreak int
+	// startFailedAt is when an unanswered start was last counted as a failure.
+	startFailedAt time.Duration
 	avoidUntil    time.Duration
 }
 
--- a/conductor/order.go
+++ b/conductor/order.go
@@ -61,9 +61,12 @@
 	Unanswered
 	// Replaced means that another incarnation or another worker is at the address.
 	Replaced
+	// NotSent means that the order never left this process, for example because the
+	// worker accepted no connection in time. The worker cannot carry it out.
+	NotSent
 )
 
-var outcomeNames = []string{"", "Obeyed", "Rejected", "Unanswered", "Replaced"}
+var outcomeNames = []string{"", "Obeyed", "Rejected", "Unanswered", "Replaced", "NotSent"}
 
 // String returns the outcome's name.
 func (outcome Outcome) String() string {
