--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -124,6 +124,7 @@
 	// summary is that of the last placement pass; nextLoadLogAt is when the load
 	// is logged next.
 	summary       allotter.Summary
+	load          load
 	nextLoadLogAt time.Duration
 	// nextPlanAt is the earliest time of the next placement pass.
 	nextPlanAt time.Duration
@@ -296,6 +297,7 @@
 
 // tick does the work that depends only on the passing of time.
 func (conductor *Conductor) tick() {
+	conductor.measureLag()
 	for _, connection := range slices.Clone(conductor.sortedConnections) {
 		conductor.checkWorker(connection)
 	}
@@ -304,6 +306,12 @@
 	conductor.placementPending = true
 }
 
+// measureLag posts work that records how long it waited.
+func (conductor *Conductor) measureLag() {
+	postedAt := conductor.config.Clock()
+	go conductor.post(func() { conductor.load.lag = max(conductor.load.lag, conductor.config.Clock()-postedAt) })
+}
+
 func millis(span time.Duration) modeller.Millis { return modeller.Millis(span.Milliseconds()) }
 
 // elapsed returns Clock in milliseconds.
--- a/conductor/plan.go
+++ b/conductor/plan.go
@@ -48,6 +48,17 @@
 	finishedAt := conductor.config.Clock()
 	conductor.nextPlanAt = finishedAt + planPauseFactor*(finishedAt-startedAt)
 	conductor.instruments.plan.Update((finishedAt - startedAt).Seconds())
+	conductor.load.passes++
+	conductor.load.planTime += finishedAt - startedAt
+}
+
+// load is what the conductor did since the load was last logged.
+type load struct {
+	// passes counts the placement passes, which took planTime in all.
+	passes   int
+	planTime time.Duration
+	// lag is the longest time that work waited in the mailbox before it was run.
+	lag time.Duration
 }
 
 // loadLogInterval is how often the load is logged.
@@ -68,7 +79,9 @@
 	summary := conductor.summary
 	logger.Info(conductor.config.Logger, "load", "OpenJobs", len(conductor.state.Open()), "StepsAsking", summary.Asking, "StepsWithoutRoom", summary.NoRoom,
 		"StepsAtLimit", summary.AtLimit, "Workers", len(conductor.connections), "Usable", len(usable),
-		"FreeMilliProcessors", free.MilliProcessors, "FreeMemoryMiB", free.MemoryMiB, "BatchesInFlight", conductor.inFlight)
+		"FreeMilliProcessors", free.MilliProcessors, "FreeMemoryMiB", free.MemoryMiB, "BatchesInFlight", conductor.inFlight,
+		"Passes", conductor.load.passes, "PlanMillis", conductor.load.planTime.Milliseconds(), "LagMillis", conductor.load.lag.Milliseconds())
+	conductor.load = load{}
 }
 
 // candidates returns the workers that may get work now, sorted by name. The
