--- a/internal/logger/ring.go
+++ b/internal/logger/ring.go
@@ -12,10 +12,10 @@
 	ringCapacity = 8192
 	// flushTimeout bounds how long Close waits for the reader.
 	flushTimeout = time.Second
-	// Lines that are logged within gatherDelay share one write, up to
-	// maxGatheredBytes.
+	// Lines that are logged within gatherDelay share one write of up to
+	// maxGatheredBytes, which a pipe takes as a whole.
 	gatherDelay      = 10 * time.Millisecond
-	maxGatheredBytes = 64 << 10
+	maxGatheredBytes = 4096
 )
 
 // Ring is a writer that passes lines on to another writer without blocking on
@@ -47,40 +47,38 @@
 
 func (ring *Ring) run() {
 	defer close(ring.ended)
-	for line := range ring.lines {
-		if line == nil {
-			return
-		}
-		text, closed := ring.gather(line)
+	for line := <-ring.lines; line != nil; {
+		text, next := ring.gather(line)
 		// An error of the log's own output cannot be reported anywhere.
 		_, _ = ring.out.Write(text)
-		if closed {
-			return
-		}
 		if count := ring.dropped.Swap(0); count > 0 {
 			_, _ = fmt.Fprintf(ring.out, "{\"Message\":\"log lines dropped\",\"Count\":%d,\"level\":\"warn\"}\n", count)
 		}
+		if next == nil {
+			next = ring.lines
+		}
+		line = <-next
 	}
 }
 
-// gather waits a moment for more lines and returns them with the first one, as one
-// text for one write. It reports whether the ring was closed meanwhile.
-func (ring *Ring) gather(first []byte) ([]byte, bool) {
+// gather returns the first line and those that follow within gatherDelay as one text,
+// and a channel that holds the line after them if that was received already, or nil.
+func (ring *Ring) gather(text []byte) ([]byte, chan []byte) {
 	timer := time.NewTimer(gatherDelay)
 	defer timer.Stop()
-	text := first
-	for len(text) < maxGatheredBytes {
+	for {
 		select {
 		case line := <-ring.lines:
-			if line == nil {
-				return text, true
+			if line == nil || len(text)+len(line) > maxGatheredBytes {
+				next := make(chan []byte, 1)
+				next <- line
+				return text, next
 			}
 			text = append(text, line...)
 		case <-timer.C:
-			return text, false
+			return text, nil
 		}
 	}
-	return text, false
 }
 
 // Close writes the buffered lines, as far as the reader accepts them within a
--- a/internal/logger/ring_test.go
+++ b/internal/logger/ring_test.go
@@ -57,3 +57,34 @@
 	ring.Close()
 	c.Check(strings.Count(out.String(), "\n"), qt.Equals, 100)
 }
+
+// countingWriter counts the writes, and those that end within a line or are larger than
+// what a pipe takes as a whole.
+type countingWriter struct {
+	writes, broken int
+	lines          int
+}
+
+func (countingWriter *countingWriter) Write(data []byte) (int, error) {
+	countingWriter.writes++
+	countingWriter.lines += bytes.Count(data, []byte("\n"))
+	if len(data) > 4096 || data[len(data)-1] != '\n' {
+		countingWriter.broken++
+	}
+	return len(data), nil
+}
+
+func TestLinesShareWritesThatAPipeTakesWhole(t *testing.T) {
+	c := qt.New(t)
+	out := &countingWriter{}
+	ring := logger.NewRing(out)
+	testLogger := logger.New(ring, "test")
+	const count = 1000
+	for number := range count {
+		logger.Info(testLogger, fmt.Sprint("line ", number), "Padding", strings.Repeat("x", number%500))
+	}
+	ring.Close()
+	c.Check(out.lines, qt.Equals, count)
+	c.Check(out.broken, qt.Equals, 0)
+	c.Check(out.writes < count/4, qt.IsTrue, qt.Commentf("%d writes", out.writes))
+}
