A silent voter's vote goes to a learner that has caught up

Cause: a machine of the core that is replaced by an empty one at another address kept its vote for ever, and its successor stayed a learner, since the number of voters must be odd. From then on the cell tolerated one loss less: of five voters, two more lost disks ended the quorum for good.

Change: if a voter has not replied for 2.5 s and a caught-up learner has no vote, the voter becomes a learner and the learner a voter, one change after the other. The replica stays a member and catches up if it returns.

--- a/internal/cellrunner/members_test.go
+++ b/internal/cellrunner/members_test.go
@@ -14,8 +14,9 @@
 // number of members and of voters.
 func settleMembership(c *qt.C, members []journaler.Member) (int, int) {
 	caughtUp := func(journaler.ReplicaID) bool { return true }
+	silent := func(journaler.ReplicaID) bool { return false }
 	for range 20 {
-		next := cellrunner.NextMembers(members, caughtUp)
+		next := cellrunner.NextMembers(members, caughtUp, silent)
 		if next == nil {
 			voters := 0
 			for _, member := range members {
@@ -63,3 +64,41 @@
 		c.Check(voters, qt.Equals, 3)
 	}
 }
+
+// TestASilentVotersVoteGoesToALearner has a voter that is gone for good, and its
+// successor at another address. Without the vote, a cell of five that may lose two
+// replicas at once would lose its quorum with the next two.
+func TestASilentVotersVoteGoesToALearner(t *testing.T) {
+	c := qt.New(t)
+	for voters := 3; voters <= 7; voters += 2 {
+		members := append(makeMembers(voters, 0), journaler.Member{ID: "successor", Address: "elsewhere"})
+		alive := func(id journaler.ReplicaID) bool { return id != "1" }
+		gone := func(id journaler.ReplicaID) bool { return id == "1" }
+		changes := 0
+		for next := cellrunner.NextMembers(members, alive, gone); next != nil; next = cellrunner.NextMembers(members, alive, gone) {
+			members = next
+			changes++
+			c.Assert(changes <= 2, qt.IsTrue)
+		}
+		count := 0
+		for _, member := range members {
+			if member.Voter {
+				count++
+			}
+			c.Check(member.Voter, qt.Equals, member.ID != "1", qt.Commentf("%s of %d", member.ID, voters))
+		}
+		c.Check(count, qt.Equals, voters)
+		c.Check(cellrunner.NextMembers(members, func(journaler.ReplicaID) bool { return true }, func(journaler.ReplicaID) bool { return false }), qt.IsNil,
+			qt.Commentf("a voter that returns stays a learner"))
+	}
+}
+
+// TestASilentVoterKeepsItsVoteWithoutALearner checks that a voter that is only silent
+// for a while is not dropped if nobody can take its place.
+func TestASilentVoterKeepsItsVoteWithoutALearner(t *testing.T) {
+	c := qt.New(t)
+	gone := func(id journaler.ReplicaID) bool { return id == "1" }
+	alive := func(id journaler.ReplicaID) bool { return id == "0" }
+	c.Check(cellrunner.NextMembers(makeMembers(3, 0), alive, gone), qt.IsNil)
+	c.Check(cellrunner.NextMembers(makeMembers(3, 1), alive, gone), qt.IsNil, qt.Commentf("the learner has not caught up"))
+}
--- a/internal/cellrunner/runner.go
+++ b/internal/cellrunner/runner.go
@@ -314,7 +314,7 @@
 
 func (runner *Runner) advanceMembership(ctx context.Context) {
 	node := runner.node.Load()
-	next := NextMembers(node.Status().Members, node.CaughtUp)
+	next := NextMembers(node.Status().Members, node.CaughtUp, node.Silent)
 	if next == nil {
 		return
 	}
@@ -333,7 +333,11 @@
 // is below its maximum. An even number of voters tolerates no more losses than
 // one fewer and has no quorum if a partition splits it in halves, so one
 // replica of an even number stays a learner.
-func NextMembers(members []journaler.Member, caughtUp func(journaler.ReplicaID) bool) []journaler.Member {
+//
+// A silent voter's vote goes to a caught-up learner, since it may be gone for good, with
+// its successor at another address: as long as it counts, the cell tolerates one loss
+// less. It stays a member, and catches up if it returns.
+func NextMembers(members []journaler.Member, caughtUp, silent func(journaler.ReplicaID) bool) []journaler.Member {
 	voters := 0
 	for _, member := range members {
 		if member.Voter {
@@ -352,7 +356,12 @@
 			return slices.Delete(next, replaced, replaced+1)
 		}
 		if voters >= maxVoters(len(members)) {
-			continue
+			lost := slices.IndexFunc(members, func(member journaler.Member) bool { return member.Voter && silent(member.ID) })
+			if lost < 0 {
+				continue
+			}
+			next[lost].Voter = false
+			return next
 		}
 		next[index].Voter = true
 		return next
--- a/replicator/memberchange.go
+++ b/replicator/memberchange.go
@@ -1,6 +1,8 @@
 package replicator
 
 import (
+	"time"
+
 	"github.com/rotisserie/eris"
 
 	"github.com/dotterelrill/dotterelrill/encoder"
@@ -67,6 +69,17 @@
 		peer.match > 0 && peer.match+maxCaughtUpLagEntries >= core.log.last()
 }
 
+// silentTimeout is how long a replica has not replied when it counts as silent. It is
+// longer than an election and a process's restart take.
+const silentTimeout = 2500 * time.Millisecond
+
+// silent reports whether this replica leads and has had no reply from the other one for
+// silentTimeout.
+func (core *Core) silent(id journaler.ReplicaID) bool {
+	peer := core.peers[id]
+	return core.role == Leader && peer != nil && core.now >= peer.ackedStamp+silentTimeout
+}
+
 // stepDownIfRemoved makes a leader whose removal is committed a follower, after
 // replicating what its followers lack.
 func (core *Core) stepDownIfRemoved() {
--- a/replicator/node.go
+++ b/replicator/node.go
@@ -143,18 +143,30 @@
 // CaughtUp reports whether this replica leads and the follower's log is close
 // enough to its own for the follower to become a voter without delaying commits.
 func (node *Node) CaughtUp(id journaler.ReplicaID) bool {
+	return node.askCore(func() bool { return node.core.caughtUp(id) })
+}
+
+// Silent reports whether this replica leads and the other one has not replied for some
+// seconds.
+func (node *Node) Silent(id journaler.ReplicaID) bool {
+	return node.askCore(func() bool { return node.core.silent(id) })
+}
+
+// askCore returns the answer of a question on the goroutine that owns the Core, or false
+// if the node has ended.
+func (node *Node) askCore(question func() bool) bool {
 	result := make(chan bool, 1)
 	select {
 	case node.coreCalls <- func() {
 		node.core.ObserveTime(node.config.Clock())
-		result <- node.core.caughtUp(id)
+		result <- question()
 	}:
 	case <-node.done:
 		return false
 	}
 	select {
-	case caughtUp := <-result:
-		return caughtUp
+	case answer := <-result:
+		return answer
 	case <-node.done:
 		return false
 	}
--- a/replicator/node_test.go
+++ b/replicator/node_test.go
@@ -225,3 +225,22 @@
 	harness.c.Check(harness.node.CaughtUp("b"), qt.IsFalse)
 	harness.c.Check(harness.node.Status().Role, qt.Equals, replicator.Leader)
 }
+
+// TestASilentReplicaIsReported checks that a replica counts as silent only after some
+// seconds without a reply, also under a new leader, which has none yet.
+func TestASilentReplicaIsReported(t *testing.T) {
+	harness := newHarness(t, "a", "b", "c")
+	harness.run(t)
+	harness.becomeLeader(1)
+	harness.c.Check(harness.node.Silent("b"), qt.IsFalse)
+	harness.c.Check(harness.node.Silent("a"), qt.IsFalse)
+	for range 5 {
+		harness.now.Add(int64(time.Second / 2))
+		stamp := time.Duration(harness.now.Load())
+		harness.node.Step(replicator.Message{Cell: cellName, Kind: replicator.KindAppendReply, From: "b", To: "a", Term: 1, Index: 1, Stamp: stamp})
+		harness.waitFor("the reply", func() bool { return harness.node.CaughtUp("b") })
+	}
+	harness.c.Check(harness.node.Silent("b"), qt.IsFalse)
+	harness.c.Check(harness.node.Silent("c"), qt.IsTrue)
+	harness.c.Check(harness.node.Silent("a"), qt.IsFalse)
+}
