--- a/conductor/unanswered_test.go
+++ b/conductor/unanswered_test.go
@@ -18,7 +18,7 @@
 	fleet := newFleet(t, nil)
 	lost := 6
 	fleet.mutex.Lock()
-	fleet.onStart = func(_ conductor.Target, order *conductor.StartOrder) conductor.Answer {
+	fleet.onStart = func(conductor.Target, *conductor.StartOrder) conductor.Answer {
 		if lost > 0 {
 			lost--
 			fleet.running["w"] = map[string]conductor.StartOrder{}
