A lost leader is noticed sooner

Cause: after a leader is lost, entries waited a second without its messages, and replicas 600 to 900 ms, before they acted; short jobs of those two seconds are late.

--- a/relayer/session.go
+++ b/relayer/session.go
@@ -13,9 +13,9 @@
 	// leaderRetryDelay is the delay between the loss of a leader and the search for
 	// the next.
 	leaderRetryDelay = 100 * time.Millisecond
-	// leaderTimeout is how long a leader may send no message: four of its heartbeat
-	// intervals.
-	leaderTimeout = time.Second
+	// leaderTimeout is how long a leader may send no message: three of its heartbeat
+	// intervals and a delay. An election takes longer.
+	leaderTimeout = 800 * time.Millisecond
 	// maxElectionWait is how long after the loss of a leader a request waits for
 	// the next one. It covers the longest election timeout, 900 ms with default
 	// settings, the votes and the new leader's first commit. After that an election
