A pass looks at approved workers alone, and at 16 waiting gangs a time

Every waiting step ranked all 1,100 workers, though a third of 30 or 240 were approved for it, and every waiting gang asked for the expected releases of each of them.

Change: approved workers are ranked by themselves; the whole fleet is looked at only for more workers. Waiting gangs take turns, 16 a pass. Expected releases are worked out once a pass.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -32,6 +32,9 @@
 	// free is what is free on the worker and not reserved. It is negative where more
 	// is reserved than free.
 	free modeller.Resources
+	// releases are the worker's expected releases, once releasesKnown is true.
+	releases      []ExpectedRelease
+	releasesKnown bool
 }
 
 // ExpectedRelease is the expected end of a live attempt, in the time of
@@ -117,14 +120,16 @@
 	// lateReserved is true once this pass has reserved room ahead of time for a
 	// late gang.
 	lateReserved bool
+	// gangSearches counts the gangs that this pass has searched room for.
+	gangSearches int
 	scratch      scratch
 }
 
 // scratch holds slices that are reused from one step to the next.
 type scratch struct {
-	candidates                 []*Candidate
-	ticketed, expired, unknown []*Candidate
-	ranks                      []int64
+	candidates        []*Candidate
+	ticketed, expired []*Candidate
+	ranks             []int64
 }
 
 // New returns an Allotter for one pass. It takes ownership of the candidates.
@@ -176,10 +181,10 @@
 		return &summary.AtLimit
 	}
 	if step.queue.Advised == nil {
-		if allotter.place(step, allotter.feasible(step)) == len(step.tasks) {
+		if allotter.place(step, allotter.ranked(step, freeNow, anyWorker)) == len(step.tasks) {
 			return &summary.Placed
 		}
-		allotter.reserveEarliest(step, allotter.feasibleWhenEmpty(step))
+		allotter.reserveEarliest(step, allotter.ranked(step, freeWhenEmpty, anyWorker))
 		return &summary.NoRoom
 	}
 	approval := allotter.config.Approval(step.id)
@@ -191,12 +196,12 @@
 	}
 	allotter.release(step, approval.PendingPlacement)
 	approval.PendingPlacement = nil
-	ticketed, expired, unknown := allotter.classify(approval, allotter.feasible(step))
+	ticketed, expired := allotter.approved(step, approval, freeNow)
 	if allotter.place(step, ticketed) == len(step.tasks) {
 		return &summary.Placed
 	}
 	step.tasks = step.job.Waiting(step.id.Occurrence, step.id.Step)
-	if allotter.ask(step, approval, append(ticketed, expired...), unknown) {
+	if allotter.ask(step, approval, append(ticketed, expired...)) {
 		return &summary.Asking
 	}
 	if !step.spec.Gang {
--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -23,6 +23,8 @@
 	endings   map[modeller.WorkerName][]allotter.ExpectedRelease
 	pace      map[modeller.WorkerName]float64
 	names     []modeller.WorkerName
+	// candidates is reused by each pass.
+	candidates []allotter.Candidate
 }
 
 const workerCores = 8
@@ -100,9 +102,11 @@
 	for index := len(fixture.names); index < len(fixture.state.Workers); index++ {
 		fixture.names = append(fixture.names, modeller.WorkerName(fmt.Sprintf("w%02d", index)))
 	}
+	config.Candidates = fixture.candidates[:0]
 	for _, name := range fixture.names {
 		config.Candidates = append(config.Candidates, allotter.Candidate{Worker: fixture.state.Workers[name], Pace: fixture.pace[name]})
 	}
+	fixture.candidates = config.Candidates
 	return allotter.New(config).Run()
 }
 
--- a/allotter/ask.go
+++ b/allotter/ask.go
@@ -7,26 +7,38 @@
 	"github.com/dotterelrill/dotterelrill/stager"
 )
 
-// classify divides the workers into those with a valid ticket, those that were
-// approved but whose ticket has expired, and those that were never asked about;
-// refused ones are left out. The returned slices are reused for the next step.
-func (allotter *Allotter) classify(approval *Approval, candidates []*Candidate) (ticketed, expired, unknown []*Candidate) {
-	scratch := &allotter.scratch
-	ticketed, expired, unknown = scratch.ticketed[:0], scratch.expired[:0], scratch.unknown[:0]
-	for _, candidate := range candidates {
-		worker := candidate.Worker
-		ticket, approved := approval.Tickets[worker.Name]
-		switch {
-		case approved && ticket.Life == worker.Life && allotter.config.Elapsed < ticket.Until:
+// approved returns the workers that an adviser has approved for a step and whose room
+// holds one of its tasks, best first: those with a valid ticket, and those whose ticket
+// has expired. They are far fewer than the workers of a large fleet. The returned slices
+// are reused for the next step.
+func (allotter *Allotter) approved(step *readyStep, approval *Approval, room func(*Candidate) *modeller.Resources) (ticketed, expired []*Candidate) {
+	ranks := allotter.scratch.ranks[:0]
+	demand := step.spec.Demand()
+	for name, ticket := range approval.Tickets {
+		candidate := allotter.candidate(name)
+		if candidate != nil && ticket.Life == candidate.Worker.Life && demand.Fits(*room(candidate)) && allotter.eligible(step, candidate.Worker) {
+			ranks = append(ranks, step.rank(candidate)<<indexBits|int64(allotter.indexes[name]))
+		}
+	}
+	ticketed, expired = allotter.scratch.ticketed[:0], allotter.scratch.expired[:0]
+	for _, candidate := range allotter.sortRanks(ranks) {
+		if allotter.config.Elapsed < approval.Tickets[candidate.Worker.Name].Until {
 			ticketed = append(ticketed, candidate)
-		case approved && ticket.Life == worker.Life:
+		} else {
 			expired = append(expired, candidate)
-		case approval.Refused[worker.Name] != worker.Life:
-			unknown = append(unknown, candidate)
 		}
 	}
-	scratch.ticketed, scratch.expired, scratch.unknown = ticketed, expired, unknown
-	return ticketed, expired, unknown
+	allotter.scratch.ticketed, allotter.scratch.expired = ticketed, expired
+	return ticketed, expired
+}
+
+// unknown returns the eligible workers that no adviser was asked about for the step and
+// whose room holds one of its tasks, best first. The slice is reused by the next call.
+func (allotter *Allotter) unknown(step *readyStep, approval *Approval, room func(*Candidate) *modeller.Resources) []*Candidate {
+	return allotter.ranked(step, room, func(candidate *Candidate) bool {
+		ticket, approved := approval.Tickets[candidate.Worker.Name]
+		return (!approved || ticket.Life != candidate.Worker.Life) && approval.Refused[candidate.Worker.Name] != candidate.Worker.Life
+	})
 }
 
 const (
@@ -56,24 +68,25 @@
 // placed on, and about unknown workers if those do not suffice. Until the answer
 // the room is reserved against less urgent steps. It reports whether an answer
 // is awaited.
-func (allotter *Allotter) ask(step *readyStep, approval *Approval, approved, unknown []*Candidate) bool {
+func (allotter *Allotter) ask(step *readyStep, approval *Approval, approved []*Candidate) bool {
 	placement := allotter.assign(step, approved)
 	missing := len(step.tasks) - len(placement.Tasks)
-	if missing > 0 {
-		if step.spec.Gang {
-			return false
-		}
-		extended := allotter.assign(step, append(approved, unknown...))
-		if len(extended.Tasks) == 0 {
-			return false
-		}
-		missing = len(extended.Tasks) - len(placement.Tasks)
+	if missing > 0 && step.spec.Gang {
+		return false
 	}
 	workers := workersOf(placement)
-	allotter.reserve(step, workers)
 	if approval.Asking {
+		allotter.reserve(step, workers)
 		return true
 	}
+	var unknown []*Candidate
+	if missing > 0 {
+		unknown = allotter.unknown(step, approval, freeNow)
+		if len(placement.Tasks) == 0 && len(unknown) == 0 {
+			return false
+		}
+	}
+	allotter.reserve(step, workers)
 	if step.spec.Gang {
 		return allotter.askForGang(step, approval, workers)
 	}
--- a/allotter/bench_test.go
+++ b/allotter/bench_test.go
@@ -50,3 +50,51 @@
 		fixture.run()
 	}
 }
+
+// BenchmarkBusyPass measures a pass after a burst on a full fleet: 60 gangs and 150 batch
+// steps wait for room on the workers that were approved for them.
+func BenchmarkBusyPass(b *testing.B) {
+	for _, workers := range []int{350, 1100, 2700} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) { benchmarkBusyPass(b, workers) })
+	}
+}
+
+func benchmarkBusyPass(b *testing.B, workers int) {
+	const gangs, batches = 60, 150
+	fixture := newFixture(&testing.T{}, workers, true)
+	fixture.endings = make(map[modeller.WorkerName][]allotter.ExpectedRelease)
+	size := modeller.Resources{MilliProcessors: 4000, MemoryMiB: 100}
+	for index := range workers {
+		id, worker := fmt.Sprint("old", index), modeller.WorkerName(fmt.Sprintf("w%02d", index))
+		fixture.submit(id, "swap", step(2, 4, 1000))
+		fixture.apply(stager.Command{Place: &stager.Place{Step: stager.StepID{Job: stager.JobID(id)}, Tasks: []stager.TaskPlacement{
+			{Index: 0, Attempt: 1, Worker: worker, Life: 1}, {Index: 1, Attempt: 1, Worker: worker, Life: 1},
+		}}})
+		fixture.endings[worker] = []allotter.ExpectedRelease{{At: 3000, Size: size}, {At: 4000, Size: size}}
+	}
+	for index := range gangs + batches {
+		waiting := step(40, 4, 4000)
+		waiting.Gang = index < gangs
+		id := fmt.Sprint("waiting", index)
+		fixture.submit(id, "draw", waiting)
+		approval := fixture.approval(stager.StepID{Job: stager.JobID(id)})
+		asked := 30
+		if waiting.Gang {
+			asked = 240
+		}
+		for at := range asked {
+			name := modeller.WorkerName(fmt.Sprintf("w%02d", (at*7+index)%workers))
+			if at%3 == 0 {
+				approval.Tickets[name] = allotter.Ticket{Ticket: "t", Life: 1, Until: fixture.now + 1_000_000}
+			} else {
+				approval.Refused[name] = 1
+			}
+		}
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for b.Loop() {
+		fixture.now += 100
+		fixture.run()
+	}
+}
--- a/allotter/gang.go
+++ b/allotter/gang.go
@@ -63,10 +63,16 @@
 // reserved room becomes free; a few short tasks end in that time.
 const gangRetryMillis = 100
 
+// maxGangSearches bounds the gangs that one pass searches room for a second time. Such a
+// search looks at the whole fleet; while many gangs wait, they take turns, so that a pass
+// stays short for the other steps.
+const maxGangSearches = 16
+
 // backsOff reports whether a gang is skipped in this pass. If so, the room that
 // it has reserved stays reserved.
 func (allotter *Allotter) backsOff(step *readyStep, approval *Approval) bool {
-	if allotter.config.Elapsed >= approval.GangRetryAt {
+	if allotter.config.Elapsed >= approval.GangRetryAt && (approval.GangRetryAt == 0 || allotter.gangSearches < maxGangSearches) {
+		allotter.gangSearches++
 		approval.Reserved = nil
 		return false
 	}
@@ -107,10 +113,9 @@
 // approved or others already have room. It reports whether an answer is
 // awaited.
 func (allotter *Allotter) prepareGang(step *readyStep, approval *Approval) bool {
-	ticketed, expired, unknown := allotter.classify(approval, allotter.feasibleWhenEmpty(step))
-	approved := slices.Concat(ticketed, expired)
+	approved := slices.Concat(allotter.approved(step, approval, freeWhenEmpty))
 	approvedSlots := step.emptySlots(approved)
-	if approvedSlots+step.emptySlots(unknown) < len(step.tasks) {
+	if approvedSlots < len(step.tasks) && approvedSlots+step.emptySlots(allotter.unknown(step, approval, freeWhenEmpty)) < len(step.tasks) {
 		return false
 	}
 	reserved, freeAt := allotter.reserveEarliest(step, approved)
@@ -125,8 +130,11 @@
 			return false
 		}
 		return allotter.askForGang(step, approval, reserved)
-	case len(unknown) > 0 && (approvedSlots < gangRoomFactor*len(step.tasks) || allotter.moreWorkersWouldFit(step, approval, approved, unknown)):
-		allotter.config.Ask(Question{Step: step.id, Workers: workerNames(unknown, step.questionWorkers()), Urgency: step.urgency, Latest: step.latestStart})
+	default:
+		unknown := allotter.unknown(step, approval, freeWhenEmpty)
+		if len(unknown) > 0 && (approvedSlots < gangRoomFactor*len(step.tasks) || allotter.moreWorkersWouldFit(step, approval, approved, unknown)) {
+			allotter.config.Ask(Question{Step: step.id, Workers: workerNames(unknown, step.questionWorkers()), Urgency: step.urgency, Latest: step.latestStart})
+		}
 	}
 	return approval.Asking
 }
@@ -231,7 +239,10 @@
 		}
 	}
 	addSlots(0)
-	for _, expectedRelease := range allotter.config.ExpectedReleases(candidate.Worker.Name) {
+	if !candidate.releasesKnown {
+		candidate.releases, candidate.releasesKnown = allotter.config.ExpectedReleases(candidate.Worker.Name), true
+	}
+	for _, expectedRelease := range candidate.releases {
 		if !step.canAddTask(onWorker) {
 			break
 		}
--- a/allotter/place.go
+++ b/allotter/place.go
@@ -8,17 +8,12 @@
 	"github.com/dotterelrill/dotterelrill/stager"
 )
 
-// feasible returns the eligible workers that have room for one task now, best
-// first. The slice is reused for the next step.
-func (allotter *Allotter) feasible(step *readyStep) []*Candidate {
-	return allotter.rank(step, func(candidate *Candidate) *modeller.Resources { return &candidate.free })
-}
+// freeNow returns the room of a worker that is free and not reserved, freeWhenEmpty the
+// room that it would have if it were empty.
+func freeNow(candidate *Candidate) *modeller.Resources       { return &candidate.free }
+func freeWhenEmpty(candidate *Candidate) *modeller.Resources { return &candidate.Worker.Capacity }
 
-// feasibleWhenEmpty returns the eligible workers that would have room for one
-// task if they were empty, best first. It reuses the slice of feasible.
-func (allotter *Allotter) feasibleWhenEmpty(step *readyStep) []*Candidate {
-	return allotter.rank(step, func(candidate *Candidate) *modeller.Resources { return &candidate.Worker.Capacity })
-}
+func anyWorker(*Candidate) bool { return true }
 
 // eligible reports whether a worker may run the step's tasks, regardless of its
 // free room.
@@ -37,29 +32,38 @@
 	maxFree           = 1<<freeBits - 1
 )
 
-// rank returns the workers that are eligible for a step and whose room holds one of
-// its tasks, best first. Single tasks go to the fullest workers, so that whole workers stay
-// free for wide steps; a gang goes to the emptiest, so that it occupies few
-// workers.
-func (allotter *Allotter) rank(step *readyStep, room func(*Candidate) *modeller.Resources) []*Candidate {
+// ranked returns the eligible workers that satisfy a condition and whose room holds one
+// of the step's tasks, best first. The slice is reused by the next call.
+func (allotter *Allotter) ranked(step *readyStep, room func(*Candidate) *modeller.Resources, satisfies func(*Candidate) bool) []*Candidate {
+	ranks := allotter.scratch.ranks[:0]
 	demand := step.spec.Demand()
-	ranks, candidates := allotter.scratch.ranks[:0], allotter.scratch.candidates[:0]
 	for index := range allotter.config.Candidates {
 		candidate := &allotter.config.Candidates[index]
-		if !demand.Fits(*room(candidate)) || !allotter.eligible(step, candidate.Worker) {
-			continue
+		if demand.Fits(*room(candidate)) && allotter.eligible(step, candidate.Worker) && satisfies(candidate) {
+			ranks = append(ranks, step.rank(candidate)<<indexBits|int64(index))
 		}
-		free := min(freePerMille(candidate.Worker), maxFree)
-		if step.spec.Gang {
-			free = maxFree - free
-		}
-		rank := int64(min(candidate.RecentFailures, maxRecentFailures))
-		rank = rank<<1 | remoteRank(step.spec, candidate.Worker)
-		rank = rank<<paceBits | step.paceRank(candidate.Pace)
-		rank = rank<<freeBits | free
-		ranks = append(ranks, rank<<indexBits|int64(index))
 	}
+	return allotter.sortRanks(ranks)
+}
+
+// rank returns how good a worker is for a step, lower is better. Single tasks go to the
+// fullest workers, so that whole workers stay free for wide steps; a gang goes to the
+// emptiest, so that it occupies few workers.
+func (step *readyStep) rank(candidate *Candidate) int64 {
+	free := min(freePerMille(candidate.Worker), maxFree)
+	if step.spec.Gang {
+		free = maxFree - free
+	}
+	rank := int64(min(candidate.RecentFailures, maxRecentFailures))
+	rank = rank<<1 | remoteRank(step.spec, candidate.Worker)
+	rank = rank<<paceBits | step.paceRank(candidate.Pace)
+	return rank<<freeBits | free
+}
+
+// sortRanks returns the candidates of ranks, which hold an index each, best first.
+func (allotter *Allotter) sortRanks(ranks []int64) []*Candidate {
 	slices.Sort(ranks)
+	candidates := allotter.scratch.candidates[:0]
 	for _, rank := range ranks {
 		candidates = append(candidates, &allotter.config.Candidates[rank&(1<<indexBits-1)])
 	}
