A full fleet asks the adviser less often, about more workers

Half of the questions were about one to ten workers: on a full fleet a step asked anew for each worker on which some room became free.

--- a/allotter/ask.go
+++ b/allotter/ask.go
@@ -97,7 +97,7 @@
 		}
 	}
 	if missing > 0 {
-		question.Workers = append(question.Workers, workerNames(unknown, max(0, defaultQuestionWorkers-len(question.Workers)))...)
+		question.Workers = allotter.addUnknown(step, approval, question.Workers, unknown)
 	}
 	if len(question.Workers) == 0 {
 		return false
@@ -107,6 +107,23 @@
 	return true
 }
 
+// addUnknown adds unknown workers to a question: those that have room now, and, if these
+// are few, others that may have some soon. On a full fleet a step would otherwise ask
+// again for each worker on which some room becomes free.
+func (allotter *Allotter) addUnknown(step *readyStep, approval *Approval, workers []modeller.WorkerName, unknown []*Candidate) []modeller.WorkerName {
+	limit := max(defaultQuestionWorkers, len(workers))
+	workers = append(workers, workerNames(unknown, limit-len(workers))...)
+	if len(workers) == limit {
+		return workers
+	}
+	for _, candidate := range allotter.unknown(step, approval, freeWhenEmpty) {
+		if len(workers) < limit && !slices.Contains(workers, candidate.Worker.Name) {
+			workers = append(workers, candidate.Worker.Name)
+		}
+	}
+	return workers
+}
+
 func workersOf(place *stager.Place) []modeller.WorkerName {
 	workers := make([]modeller.WorkerName, 0, len(place.Tasks))
 	for i := range place.Tasks {
