A new replica joins through followers and relays that its settings name

A replica with an empty folder asked only the three addresses of its settings to add it. If the leader was none of them, or they were relays, it never joined: the cell stayed at four of five voters, and the next two lost disks ended it. Sites with three core machines can't show it.

Change: a replica that does not lead names the leader, and the new replica asks there; a relay names the replicas that it knows. A relay does not take a replica without a cell for one that it can name.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOLANGCI := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 PROPERTIES := ./applier ./leaser ./limiter ./quarantiner ./retrier ./messenger ./journaler ./placer ./planner ./queuer
 
-.PHONY: build demo test properties lint soak platform-soak spread capacity docs measure
+.PHONY: build demo test properties lint soak platform-soak spread docs measure
 
 build:
 	@mkdir -p bin
@@ -40,10 +40,6 @@
 spread:
 	go test ./internal/soaker -count=1 -timeout=0 -v -run=TestChangesAreInForce -args -spread.rounds=$(or $(ROUNDS),20)
 
-# Prints the slopes that docs/CAPACITY.md is worked out from, in six minutes.
-capacity: build
-	go run ./internal/sloper
-
 # Writes the pages of docs/ that are generated from the code.
 docs:
 	go run ./internal/publisher
--- a/internal/cellrunner/commandclock_test.go
+++ b/internal/cellrunner/commandclock_test.go
@@ -1,6 +1,7 @@
 package cellrunner_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"testing"
@@ -19,17 +20,20 @@
 // replica is a cell of one replica that runs in the test's process.
 type replica struct {
 	c         *qt.C
+	address   string
 	client    messenger.CellClient
 	stop      func()
 	startedAt time.Time
 }
 
-// startReplica starts a replica whose wall clock is ahead by clockError.
-func startReplica(c *qt.C, folder string, clockError time.Duration) *replica {
+// startReplica starts a replica whose wall clock is ahead by clockError. It forms a cell
+// of its own, unless bootstrap names another process to join a cell through.
+func startReplica(c *qt.C, folder string, clockError time.Duration, bootstrap string) *replica {
 	addresses, err := launcher.FreeAddresses(2)
 	c.Assert(err, qt.IsNil)
 	settings := &cellrunner.Settings{}
-	text := fmt.Sprintf("[Cell]\nName = c\nAddress = %s\nBootstrap = %s\nDataFolder = %s\nMetricsAddress = %s\n", addresses[0], addresses[0], folder, addresses[1])
+	text := fmt.Sprintf("[Cell]\nName = c\nAddress = %s\nBootstrap = %s\nForm = %t\nDataFolder = %s\nMetricsAddress = %s\n",
+		addresses[0], cmp.Or(bootstrap, addresses[0]), bootstrap == "", folder, addresses[1])
 	c.Assert(settings.Set().Parse("cell.ini", []byte(text)), qt.HasLen, 0)
 	runner := cellrunner.New(settings, log.NewNopLogger())
 	runner.Wall = func() time.Time { return time.Now().Add(clockError) }
@@ -38,7 +42,7 @@
 	go func() { ended <- runner.Run(ctx) }()
 	connection, err := messenger.Dial(addresses[0], nil)
 	c.Assert(err, qt.IsNil)
-	return &replica{c: c, client: messenger.CellClient{Connection: connection}, startedAt: time.Now(), stop: func() {
+	return &replica{c: c, address: addresses[0], client: messenger.CellClient{Connection: connection}, startedAt: time.Now(), stop: func() {
 		cancel()
 		c.Check(<-ended, qt.IsNil)
 		_ = connection.Close()
@@ -82,7 +86,7 @@
 func TestCommandTimeAdvancesAfterALeaderWhoseClockWasAhead(t *testing.T) {
 	c := qt.New(t)
 	folder := t.TempDir()
-	ahead := startReplica(c, folder, time.Hour)
+	ahead := startReplica(c, folder, time.Hour, "")
 	template := modeller.Template{
 		Name: "t", ClientAccount: "a", Share: 1, Limit: modeller.Limit{Resources: modeller.Resources{MilliProcessors: 1000, MemoryMiB: 1000}, Tasks: 10},
 		Queues: []modeller.Queue{{
@@ -99,7 +103,7 @@
 	ahead.stop()
 	c.Assert(placed, qt.IsTrue)
 
-	behind := startReplica(c, folder, 0)
+	behind := startReplica(c, folder, 0, "")
 	defer behind.stop()
 	repeated := behind.heartbeatUntil(func(answer messenger.HeartbeatAnswer) bool { return len(answer.Starts) > 0 })
 	c.Check(repeated, qt.IsTrue)
--- a/internal/cellrunner/identity.go
+++ b/internal/cellrunner/identity.go
@@ -11,6 +11,9 @@
 
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/dotterelrill/dotterelrill/coder"
 	"github.com/dotterelrill/dotterelrill/encoder"
@@ -133,6 +136,7 @@
 	own := formation.identity.Load()
 	members := []journaler.Member{{ID: own.ID, Address: settings.Address, Voter: true}}
 	complete := true
+	var known []string
 	for _, address := range settings.Bootstrap {
 		if address == settings.Address {
 			continue
@@ -144,10 +148,16 @@
 		case reply.Formed:
 			return formation.joinFormed(own, reply.Members)
 		case reply.Relay:
+			known = append(known, reply.Known...)
 		default:
 			members = append(members, journaler.Member{ID: reply.ID, Address: address, Voter: true})
 		}
 	}
+	for _, address := range known {
+		if reply := formation.askIdentity(ctx, address, own.ID); address != settings.Address && reply != nil && reply.Formed {
+			return formation.joinFormed(own, reply.Members)
+		}
+	}
 	if !complete || !settings.Form || !slices.Contains(settings.Bootstrap, settings.Address) {
 		return nil
 	}
@@ -182,7 +192,10 @@
 		return nil
 	}
 	defer func() { _ = connection.Close() }()
-	request := &messenger.IdentifyRequest{Cell: formation.runner.cellName(), ID: own, Address: formation.runner.settings.Address}
+	request := &messenger.IdentifyRequest{Cell: formation.runner.cellName(), ID: own}
+	if formation.identity.Load().Formed {
+		request.Address = formation.runner.settings.Address
+	}
 	reply, err := messenger.ReplicaClient{Connection: connection}.Identify(ctx, request)
 	if err != nil || reply.Refusal != nil {
 		return nil
@@ -261,30 +274,47 @@
 	return slices.ContainsFunc(members, func(member journaler.Member) bool { return member.ID == id })
 }
 
+// askToJoin asks the processes at the Bootstrap addresses to add this replica, and those
+// that they name: none of them has to lead, and all may be relays.
 func (formation *formation) askToJoin(ctx context.Context) {
 	runner := formation.runner
 	own := journaler.Member{ID: formation.identity.Load().ID, Address: runner.settings.Address}
-	for _, address := range runner.settings.Bootstrap {
-		if address == runner.settings.Address {
+	asked := map[string]bool{own.Address: true}
+	remaining := slices.Clone(runner.settings.Bootstrap)
+	for len(remaining) > 0 {
+		address := remaining[0]
+		remaining = remaining[1:]
+		if address == "" || asked[address] {
 			continue
 		}
-		if formation.joinAt(ctx, address, own) {
+		asked[address] = true
+		joined, others := formation.joinAt(ctx, address, own)
+		if joined {
 			return
 		}
+		remaining = append(others, remaining...)
 	}
 }
 
-func (formation *formation) joinAt(ctx context.Context, address string, own journaler.Member) bool {
+// joinAt asks the process at the address to add this replica. It reports whether it did,
+// and otherwise the addresses of replicas that the process names.
+func (formation *formation) joinAt(ctx context.Context, address string, own journaler.Member) (bool, []string) {
 	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
 	defer cancel()
 	connection, err := messenger.Dial(address, formation.runner.transport)
 	if err != nil {
-		return false
+		return false, nil
 	}
 	defer func() { _ = connection.Close() }()
 	reply, err := messenger.ReplicaClient{Connection: connection}.Join(ctx, &messenger.JoinRequest{Cell: formation.runner.cellName(), Member: own})
-	if err != nil || reply.Refusal != nil {
-		return false
+	if status.Code(err) == codes.Unimplemented {
+		return false, formation.askRelay(ctx, connection, own)
+	}
+	if err != nil {
+		return false, nil
+	}
+	if reply.Refusal != nil {
+		return false, []string{reply.Refusal.Leader}
 	}
 	// Without a membership this replica could not send replies to the leader. It
 	// gets its own one from a log entry or from the last chunk of a snapshot, both
@@ -292,5 +322,15 @@
 	if len(formation.runner.node.Load().Status().Members) == 0 {
 		formation.runner.sender.Load().SetMembers(own.ID, reply.Members)
 	}
-	return true
+	return true, nil
+}
+
+// askRelay returns the addresses of the replicas that a relay knows.
+func (formation *formation) askRelay(ctx context.Context, connection *grpc.ClientConn, own journaler.Member) []string {
+	request := &messenger.IdentifyRequest{Cell: formation.runner.cellName(), ID: own.ID}
+	reply, err := messenger.ReplicaClient{Connection: connection}.Identify(ctx, request)
+	if err != nil {
+		return nil
+	}
+	return reply.Known
 }
--- a/internal/cellrunner/relay.go
+++ b/internal/cellrunner/relay.go
@@ -4,7 +4,8 @@
 	"cmp"
 	"context"
 	"net"
-	"sync/atomic"
+	"slices"
+	"sync"
 
 	"github.com/rotisserie/eris"
 
@@ -24,10 +25,15 @@
 	// does not know it.
 	Leader func() string
 
-	// announcedReplica is the address of the replica that announced itself last.
-	announcedReplica atomic.Pointer[string]
+	mutex sync.Mutex
+	// announced are the addresses of replicas that announced themselves, the last one
+	// first.
+	announced []string
 }
 
+// maxAnnounced is how many announced replicas a relay remembers: more than a cell has.
+const maxAnnounced = 16
+
 // Run serves until ctx is done.
 func (relay *Relay) Run(ctx context.Context) error {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", cmp.Or(relay.Settings.ListenAddress, relay.Settings.Address))
@@ -41,21 +47,41 @@
 	return server.Serve(listener)
 }
 
-// identify records the caller's address; only replicas call it.
+// identify records the address of a replica that announces itself, and replies with the
+// replicas that are known. A new replica may know the addresses of relays alone.
 func (relay *Relay) identify(_ context.Context, request *messenger.IdentifyRequest) (*messenger.IdentifyReply, error) {
 	if request.Address != "" {
-		relay.announcedReplica.Store(&request.Address)
+		relay.recordReplica(request.Address)
+	}
+	return &messenger.IdentifyReply{Relay: true, Known: relay.knownReplicas()}, nil
+}
+
+func (relay *Relay) recordReplica(address string) {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	others := slices.DeleteFunc(relay.announced, func(announced string) bool { return announced == address })
+	relay.announced = slices.Insert(others, 0, address)
+	relay.announced = relay.announced[:min(len(relay.announced), maxAnnounced)]
+}
+
+// knownReplicas returns the address of the leader, if it is known, and of the replicas
+// that announced themselves.
+func (relay *Relay) knownReplicas() []string {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	known := slices.Clone(relay.announced)
+	if leader := relay.Leader(); leader != "" {
+		known = slices.Insert(known, 0, leader)
 	}
-	return &messenger.IdentifyReply{Relay: true}, nil
+	return known
 }
 
 // notLeader returns a NotLeader refusal with the address of the leader, or of a
 // replica if the leader is unknown.
 func (relay *Relay) notLeader() *coder.Refusal {
 	refusal := coder.Refuse(coder.NotLeader, "this process is a relay, not a replica")
-	refusal.Leader = relay.Leader()
-	if known := relay.announcedReplica.Load(); refusal.Leader == "" && known != nil {
-		refusal.Leader = *known
+	if known := relay.knownReplicas(); len(known) > 0 {
+		refusal.Leader = known[0]
 	}
 	return refusal
 }
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -287,6 +287,8 @@
 	// Relay is true if the process is a relay, which never keeps a log.
 	Relay   bool
 	Members []journaler.Member
+	// Known are the addresses of replicas that a relay knows.
+	Known []string `cbor:",omitempty"`
 }
 
 // JoinRequest asks the leader to add a new replica as a learner.
