A request whose caller has left is dropped

Cause: an overloaded leader decided requests whose deadline had passed, and was late with the others too. Measured: TestARequestWhoseCallerHasLeftIsDropped fails on the code before and passes now.

--- a/conductor/request.go
+++ b/conductor/request.go
@@ -9,10 +9,15 @@
 )
 
 // request runs decide on the owning goroutine and waits until the resulting
-// changes are committed. decide returns a refusal, or nil.
+// changes are committed. decide returns a refusal, or nil. A request whose caller has
+// stopped waiting is dropped: an overloaded leader would otherwise spend its time on
+// answers that nobody receives, and be late with the others too.
 func (conductor *Conductor) request(ctx context.Context, decide func() *coder.Refusal) *coder.Refusal {
 	reply := make(chan *coder.Refusal, 1)
 	posted := conductor.post(func() {
+		if ctx.Err() != nil {
+			return
+		}
 		if refusal := decide(); refusal != nil {
 			reply <- refusal
 			return
--- a/conductor/unanswered_test.go
+++ b/conductor/unanswered_test.go
@@ -1,12 +1,15 @@
 package conductor_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/dotterelrill/dotterelrill/coder"
 	"github.com/dotterelrill/dotterelrill/conductor"
+	"github.com/dotterelrill/dotterelrill/stager"
 )
 
 // TestOneLostAnswerCountsOnce loses the answers to six starts that are on their way to a
@@ -57,3 +60,21 @@
 	fleet.await("the start elsewhere", func() bool { return len(fleet.running["other"]) == 1 })
 	c.Check(time.Since(startedAt) < lease, qt.IsTrue, qt.Commentf("%s", time.Since(startedAt)))
 }
+
+// TestARequestWhoseCallerHasLeftIsDropped submits a job with a deadline that is over. The
+// answer says that its outcome is unknown; no work may be spent on it.
+func TestARequestWhoseCallerHasLeftIsDropped(t *testing.T) {
+	c := qt.New(t)
+	fleet := newFleet(t, nil)
+	fleet.announce("w", 8)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	refusal := fleet.conductor.Submit(ctx, &stager.Submit{ID: "late", ClientAccount: "a", Queue: queue, Steps: []stager.Step{singleCoreStep(1)}})
+	c.Assert(refusal != nil, qt.IsTrue)
+	c.Check(refusal.Code, qt.Equals, coder.Unknown)
+	fleet.submit("j", singleCoreStep(1))
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	c.Check(fleet.state.Jobs["j"], qt.IsNotNil)
+	c.Check(fleet.state.Jobs["late"], qt.IsNil)
+}
