--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -316,3 +316,27 @@
 	fixture.run()
 	fixture.c.Check(fixture.placed, qt.HasLen, 3, qt.Commentf("no rack can hold the gang, so it is spread over several"))
 }
+
+// TestAGangAsksUntilEnoughWorkersAreApproved has an adviser that approves one worker in
+// twenty for a gang that needs 40 whole workers, on an empty fleet: the first 240 workers
+// that it is asked about yield 12.
+func TestAGangAsksUntilEnoughWorkersAreApproved(t *testing.T) {
+	fixture := newFixture(t, 1100, true)
+	gang := step(40, workerCores, 1000)
+	gang.Gang = true
+	fixture.submit("g", "draw", gang)
+	approved := make(map[modeller.WorkerName]bool)
+	for index := 0; index < 1100; index += 20 {
+		approved[modeller.WorkerName(fmt.Sprintf("w%02d", index))] = true
+	}
+	for range 10 {
+		fixture.now += 100
+		if fixture.run().Placed == 1 {
+			return
+		}
+		for _, question := range fixture.questions {
+			fixture.answer(question, func(name modeller.WorkerName) bool { return approved[name] })
+		}
+	}
+	fixture.c.Fatal("the gang was not placed")
+}
