--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -2,7 +2,8 @@
 // things that need them, so that no load from outside can take those that the
 // process itself cannot do without.
 //
-// The log and the connections to other replicas come first, then the connections
+// Load it answers: a thousand workers that each need connections, and come again all at
+// once after a change of leader. The log and the connections to other replicas come first, then the connections
 // of workers and operators, then those to workers. A Quota enforces one part:
 // at its limit a listener stops accepting, and a dialer waits, until a connection
 // closes. Neither fails the process.
@@ -17,8 +18,9 @@
 
 // Ration is the number of descriptors for each purpose.
 type Ration struct {
-	// Inner is for connections of other processes of the system, Control for those
-	// of workers and operators, and Workers for those to workers.
+	// Inner is left to the connections with other processes of the system, which no
+	// Quota bounds. Control is for those of workers and operators, or of callers, and
+	// Workers for those to workers.
 	Inner, Control, Workers int
 }
 
