--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -29,11 +29,11 @@
 	inquiryRetryDelay = 200 * time.Millisecond
 	// maxInquiryWorkers is how many workers an adviser accepts in one inquiry.
 	maxInquiryWorkers = 100
-	// partWorkers is how many workers each part of a question names at least, if it
-	// is divided among idle processes: an adviser's time grows with them, but has a
-	// fixed part too.
+	// partWorkers is how many workers each part of a question names if enough
+	// processes are idle: an adviser's time grows with them, but has a fixed part
+	// too.
 	partWorkers = 40
-	// idlePartDivisor is the share of the idle processes that one question may take.
+	// One question may take one in idlePartDivisor of the idle processes.
 	idlePartDivisor = 4
 )
 
