A wide gang asks about all workers that would fit it now

Of 300 workers that they had asked about a third was approved, and these were in use; the bound of 300 kept them from asking about the others.

Change: no bound; such a question is asked only while the fleet has room for the gang at the rate of approvals so far.

Measured: TestAWideLateGangUsesRoomOnWorkersThatItHasNotAskedAbout fails on the code before and passes now.

--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -340,3 +340,32 @@
 	}
 	fixture.c.Fatal("the gang was not placed")
 }
+
+// TestAWideLateGangUsesRoomOnWorkersThatItHasNotAskedAbout has a gang of 60 tasks whose
+// 300 workers that were asked about are taken by other work, while the rest of the fleet
+// is free. It must ask about these, though enough of the others are approved for it.
+func TestAWideLateGangUsesRoomOnWorkersThatItHasNotAskedAbout(t *testing.T) {
+	fixture := newFixture(t, 700, true)
+	gang := step(60, workerCores, 1000)
+	gang.Gang = true
+	fixture.submit("g", "draw", gang)
+	approval := fixture.approval(stager.StepID{Job: "g"})
+	for index := range 300 {
+		name := modeller.WorkerName(fmt.Sprintf("w%02d", index))
+		approval.Tickets[name] = allotter.Ticket{Ticket: "t", Life: 1}
+		id := fmt.Sprint("other", index)
+		fixture.submit(id, "swap", step(1, workerCores, 1000))
+		fixture.apply(stager.Command{Place: &stager.Place{Step: stager.StepID{Job: stager.JobID(id)}, Tasks: []stager.TaskPlacement{{Attempt: 1, Worker: name, Life: 1}}}})
+	}
+	fixture.now += 100_000
+	for range 5 {
+		fixture.now += 100
+		if fixture.run().Placed == 1 {
+			return
+		}
+		for _, question := range fixture.questions {
+			fixture.answer(question, func(modeller.WorkerName) bool { return true })
+		}
+	}
+	fixture.c.Fatal("the gang was not placed")
+}
--- a/allotter/gang.go
+++ b/allotter/gang.go
@@ -105,11 +105,6 @@
 	// initialApprovalRate is the assumed fraction of workers that an adviser
 	// approves, until there are answers about the step.
 	initialApprovalRate = 0.5
-	// maxGangWorkersAsked is how many workers the adviser is asked about for a waiting
-	// gang at most, unless the approved ones could not hold it comfortably. On a full
-	// fleet further ones bring it forward little, and other steps need the adviser's
-	// time.
-	maxGangWorkersAsked = maxQuestionWorkers
 )
 
 // prepareGang brings forward the start of a gang that does not fit now: it
@@ -135,7 +130,7 @@
 			return false
 		}
 		return allotter.askForGang(step, approval, reserved)
-	case approvedSlots < gangRoomFactor*len(step.tasks) || len(approval.Tickets)+len(approval.Refused) < maxGangWorkersAsked:
+	default:
 		unknown := allotter.unknown(step, approval, freeWhenEmpty)
 		if len(unknown) > 0 && (approvedSlots < gangRoomFactor*len(step.tasks) || allotter.moreWorkersWouldFit(step, approval, approved, unknown)) {
 			allotter.config.Ask(Question{Step: step.id, Workers: workerNames(unknown, step.questionWorkers()), Urgency: step.urgency, Latest: step.latestStart})
