--- a/locator/locator.go
+++ b/locator/locator.go
@@ -10,6 +10,9 @@
 // reported so, or if its request was never written to a connection. In all
 // other cases the request may still be committed later, even after a second try
 // met a transient refusal, so the answer is Unknown.
+//
+// Leader searches for the leader without sending it a request. It costs the replicas few
+// calls, since every process of a cell searches when the leader is lost.
 package locator
 
 import (
--- a/relayer/session.go
+++ b/relayer/session.go
@@ -14,7 +14,7 @@
 	// the next.
 	leaderRetryDelay = 100 * time.Millisecond
 	// leaderTimeout is how long a leader may send no message: three of its heartbeat
-	// intervals and a delay. An election takes longer.
+	// intervals and a short delay.
 	leaderTimeout = 800 * time.Millisecond
 	// maxElectionWait is how long after the loss of a leader a request waits for
 	// the next one. It covers the longest election timeout, 900 ms with default
