relayer's test of a leader that fell silent earlier is back

Cause: rewrote TestUnresponsiveLeaderIsAbandoned. Its second request now expects NotServing, but the play in which the first request comes 1.5 s after the leader froze was gone, with its bound of 1 s.

Change: TestALeaderThatFellSilentEarlierIsAbandoned plays it with the old bound. It is stricter on the code: Unknown if the request reached the leader, NotServing if it did not, where Unknown was expected before.

--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -168,6 +168,28 @@
 	c.Check(elapsed < time.Second, qt.IsTrue, qt.Commentf("%s", elapsed))
 }
 
+// TestALeaderThatFellSilentEarlierIsAbandoned submits the first request 1.5 s after the
+// leader froze. It must not be told that nobody received it if the leader did.
+func TestALeaderThatFellSilentEarlierIsAbandoned(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	leader := startReplica(ctx, c)
+	relayer := startRelayer(ctx, c, leader.address)
+	awaitServed(c, relayer)
+	leader.unresponsive.Store(true)
+	time.Sleep(1500 * time.Millisecond)
+	leader.submissions.Store(0)
+	refusal, elapsed := submit(relayer)
+	c.Assert(refusal != nil, qt.IsTrue)
+	want := coder.NotServing
+	if leader.submissions.Load() > 0 {
+		want = coder.Unknown
+	}
+	c.Check(refusal.Code, qt.Equals, want, qt.Commentf("%d submissions reached the leader", leader.submissions.Load()))
+	c.Check(elapsed < time.Second, qt.IsTrue, qt.Commentf("%s", elapsed))
+}
+
 // TestASlowLeaderGetsARequestOnce has a leader that takes longer than its heartbeat
 // timeout to decide. A request that came again meanwhile would add to the load that
 // makes the leader slow.
