SIGHUP no longer ends a program that is stopping

What callers saw: requests in flight at a replica or an entry were cut when a SIGHUP arrived after a SIGTERM, up to 1.5 s after they had been sent whole, and the process ended by a signal instead of with status 0.

Cause: the goroutine that reloads the settings unregistered SIGHUP as soon as SIGTERM had cancelled the context. From then on the signal had its default action, which ends the process, while it was still answering requests.

The new test failed before:

--- FAIL: TestHangupDoesNotEndAStoppingProgram (4.80s) graceful_test.go:259: value is not true (entry.Alive())

Change: SIGHUP is handled until the process has ended. All daemons share this code. A second SIGTERM still ends a program at once, as TestSecondSignalEndsAtOnce demands.

Result: the new test passes, TestHangupEndsNoProgram and TestSecondSignalEndsAtOnce too.

--- a/internal/launcher/graceful_test.go
+++ b/internal/launcher/graceful_test.go
@@ -249,3 +249,16 @@
 		fixture.c.Check(process.Alive(), qt.IsTrue, qt.Commentf("%s", process.Name))
 	}
 }
+
+func TestHangupDoesNotEndAStoppingProgram(t *testing.T) {
+	fixture := startFixtureWith(t, launcher.Config{EntrySettings: "ShutdownTimeout = 4s\nDrainDelay = 1s\n"})
+	entry := fixture.fleet.Entries[0]
+	entry.Signal(syscall.SIGTERM)
+	time.Sleep(200 * time.Millisecond)
+	for range 3 {
+		fixture.c.Assert(entry.Alive(), qt.IsTrue)
+		entry.Signal(syscall.SIGHUP)
+		time.Sleep(100 * time.Millisecond)
+	}
+	assertStopped(fixture.c, entry)
+}
--- a/internal/programmer/programmer.go
+++ b/internal/programmer/programmer.go
@@ -71,16 +71,8 @@
 
 // reloadOnHangup reloads the settings on each SIGHUP. A program without Reload
 // ignores the signal, which would end it by default.
-func reloadOnHangup(ctx context.Context, daemon Daemon, path string, programLogger log.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-		}
+func reloadOnHangup(hangups <-chan os.Signal, daemon Daemon, path string, programLogger log.Logger) {
+	for range hangups {
 		if daemon.Reload == nil {
 			logger.Info(programLogger, "settings are read only at startup")
 			continue
@@ -98,7 +90,11 @@
 	defer stop()
 	// A second signal ends the program immediately, as signals do by default.
 	context.AfterFunc(ctx, stop)
-	go reloadOnHangup(ctx, daemon, path, programLogger)
+	// SIGHUP stays handled until the process has ended: a stopping program still
+	// serves requests, and the signal's default action would cut them off.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go reloadOnHangup(hangups, daemon, path, programLogger)
 	logger.Info(programLogger, "started")
 	if err := daemon.Run(ctx, programLogger); err != nil {
 		logger.Error(programLogger, "terminated with an error", "Error", err.Error())
