cellrunner: a vote on its way to a learner costs no quorum

In a cell of four, the disk of one replica was full for 3.5 s, and then that of another: no change was acknowledged as long as the second was full, although three replicas had room and ran. In a run of the new test on the code before (four replicas, not in its first run nor in every one):

fulldisk_test.go:210: error: value is not true fulldisk_test.go:211: acknowledged after 8s while the disk of replica 3 was full replica 0: ready true, full false replica 1: ready false, full false replica 2: ready false, full false replica 3: ready false, full true

Cause: a silent voter's vote goes to a learner by two changes of the membership, 200 ms apart, and the first one took the vote away. The log of that run shows the leader making its first change at 5:00.979 and losing its disk at 5:01.092. With two of two voters needed, the other one could elect nobody, and the third and fourth replica could not help, although the silent one came back at 5:01.300. Had the leader lost its disk for good, the cell would have stayed without a leader for good: a new replica joins through a leader only. That is an inference from the membership, not a run.

Now the learner gets its vote first, and the silent voter loses its own after that: no membership on the way tolerates fewer losses than the one before. A voter that returns between the two changes leaves an even number, which is made odd too; a cell of two keeps both votes, since entries would otherwise be on one disk. TestAVoteOnItsWayToALearnerCostsNoLoss checks each step; before, it said

members_test.go:115: values are not equal [{0 a0 true} {1 a1 false} {2 a2 true} {3 a3 false}] got: int(0) want: int(1)

and TestAVoterThatReturnsBetweenTheChangesLeavesAnOddNumber got no change at all.

--- /dev/null
+++ b/internal/cellrunner/fulldisk_test.go
@@ -0,0 +1,243 @@
+package cellrunner_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+
+	"github.com/dotterelrill/dotterelrill/coder"
+	"github.com/dotterelrill/dotterelrill/conductor"
+	"github.com/dotterelrill/dotterelrill/internal/cellrunner"
+	"github.com/dotterelrill/dotterelrill/internal/launcher"
+	"github.com/dotterelrill/dotterelrill/locator"
+	"github.com/dotterelrill/dotterelrill/messenger"
+	"github.com/dotterelrill/dotterelrill/relayer"
+	"github.com/dotterelrill/dotterelrill/stager"
+)
+
+const (
+	// changeTimeout bounds one try of a change.
+	changeTimeout = 900 * time.Millisecond
+	// ackTimeout bounds the time until a change is acknowledged once all disks have
+	// room; while one is full, there only has to be an acknowledgement, within
+	// quorumTimeout.
+	ackTimeout    = 4 * time.Second
+	quorumTimeout = 20 * time.Second
+	// restartDelay is the delay before a replica that has ended is started again.
+	restartDelay = 200 * time.Millisecond
+)
+
+// diskReplica is a replica of a cell whose disk can be full. It is started again, as
+// a process is by its supervisor, whenever it ends.
+type diskReplica struct {
+	address, metricsAddress string
+	settings                *cellrunner.Settings
+	full                    atomic.Bool
+	// ends counts how often the replica has ended by itself.
+	ends atomic.Int64
+}
+
+// write fails while the disk is full, after a random part of the data.
+func (diskReplica *diskReplica) write(file *os.File, data []byte) (int, error) {
+	if !diskReplica.full.Load() {
+		return file.Write(data)
+	}
+	count, _ := file.Write(data[:rand.IntN(len(data))])
+	return count, syscall.ENOSPC
+}
+
+func (diskReplica *diskReplica) supervise(ctx context.Context) {
+	for ctx.Err() == nil {
+		runner := cellrunner.New(diskReplica.settings, log.NewNopLogger())
+		runner.Write = diskReplica.write
+		// No machine loses power here, and a sync of a busy disk may take seconds.
+		runner.Sync = func(*os.File) error { return nil }
+		runner.ServeStagedJobs(unreachableWorkers())
+		if err := runner.Run(ctx); err != nil {
+			diskReplica.ends.Add(1)
+		}
+		time.Sleep(restartDelay)
+	}
+}
+
+func unreachableWorkers() cellrunner.WorkerCalls {
+	notSent := conductor.Answer{Outcome: conductor.NotSent}
+	return cellrunner.WorkerCalls{
+		Start: func(context.Context, conductor.Target, *conductor.StartOrder) conductor.Answer { return notSent },
+		Stop:  func(context.Context, conductor.Target, *conductor.StopOrder) conductor.Answer { return notSent },
+		Hold: func(context.Context, conductor.Target, *conductor.HoldOrder) conductor.HoldAnswer {
+			return conductor.HoldAnswer{Answer: notSent}
+		},
+	}
+}
+
+// ready reports whether the replica leads, or follows a leader.
+func (diskReplica *diskReplica) ready() bool {
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+diskReplica.metricsAddress+"/ready", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode == http.StatusOK
+}
+
+// diskCell is a cell whose disks can be full, and a process that sends it changes.
+type diskCell struct {
+	c        *qt.C
+	replicas []*diskReplica
+	locator  *locator.Locator
+	relayer  *relayer.Relayer
+	version  uint64
+}
+
+// startDiskCell starts a cell that the first founders replicas form and the others
+// join. It runs until the context ends.
+func startDiskCell(ctx context.Context, c *qt.C, count, founders int) *diskCell {
+	cell := &diskCell{c: c}
+	addresses, err := launcher.FreeAddresses(2 * count)
+	c.Assert(err, qt.IsNil)
+	for at := range count {
+		replica := &diskReplica{address: addresses[at], metricsAddress: addresses[count+at], settings: &cellrunner.Settings{}}
+		text := fmt.Sprintf("[Cell]\nName = c\nAddress = %s\nBootstrap = %s\nForm = %t\nDataFolder = %s\nMetricsAddress = %s\n"+
+			"[Log]\nElectionTimeout = 450ms\nSnapshotEvery = 20\nTailEntries = 5\nSegmentBytes = 4096\nRetainBytes = 1048576\n",
+			replica.address, strings.Join(addresses[:founders], ","), at < founders, c.TempDir(), replica.metricsAddress)
+		c.Assert(replica.settings.Set().Parse("cell.ini", []byte(text)), qt.HasLen, 0)
+		cell.replicas = append(cell.replicas, replica)
+		go replica.supervise(ctx)
+	}
+	cell.locator = locator.New(locator.Config{Addresses: addresses[:founders]})
+	c.Cleanup(cell.locator.Close)
+	cell.relayer = relayer.New(relayer.Config{Cell: "c", Name: "operator", Locator: cell.locator, Logger: log.NewNopLogger()})
+	go cell.relayer.Run(ctx)
+	return cell
+}
+
+// change sends the next change until it is acknowledged, and returns how long that
+// took. It returns false if the timeout passes first.
+func (cell *diskCell) change(timeout time.Duration) (time.Duration, bool) {
+	cell.version++
+	deployment := &stager.Deployment{Version: cell.version, Source: fmt.Append(nil, "version ", cell.version)}
+	startedAt := time.Now()
+	for time.Since(startedAt) < timeout {
+		ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
+		refusal := cell.relayer.Deploy(ctx, deployment)
+		cancel()
+		if refusal == nil {
+			return time.Since(startedAt), true
+		}
+	}
+	return timeout, false
+}
+
+// countVoters returns the numbers of members and voters that the leader knows.
+func (cell *diskCell) countVoters() (int, int) {
+	ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
+	defer cancel()
+	reply, refusal := locator.Ask(ctx, cell.locator, messenger.CellClient.Query, func(reply *messenger.QueryReply) *coder.Refusal { return reply.Refusal },
+		&messenger.QueryRequest{Cell: "c", Members: true})
+	if refusal != nil {
+		return 0, 0
+	}
+	voters := 0
+	for _, row := range reply.Members {
+		if row.Member.Voter {
+			voters++
+		}
+	}
+	return len(reply.Members), voters
+}
+
+// awaitWhole waits until every replica leads or follows and the cell has its most
+// voters.
+func (cell *diskCell) awaitWhole(timeout time.Duration) {
+	for until := time.Now().Add(timeout); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		if cell.isWhole() {
+			return
+		}
+	}
+	members, voters := cell.countVoters()
+	for at, replica := range cell.replicas {
+		cell.c.Logf("replica %d: ready %t, full %t, ended %d times", at, replica.ready(), replica.full.Load(), replica.ends.Load())
+	}
+	cell.c.Fatalf("%d members, %d voters, %s after the disk had room", members, voters, timeout)
+}
+
+func (cell *diskCell) isWhole() bool {
+	for _, replica := range cell.replicas {
+		if !replica.ready() {
+			return false
+		}
+	}
+	count := len(cell.replicas)
+	members, voters := cell.countVoters()
+	return members == count && voters == count-1+count%2
+}
+
+// TestDisksThatAreFullInTurnLeaveACellThatAcceptsChanges fills the disks of all
+// replicas one after the other, never two at once.
+func TestDisksThatAreFullInTurnLeaveACellThatAcceptsChanges(t *testing.T) {
+	stall := measureStall(t.Context())
+	for _, size := range []struct{ count, founders int }{{3, 3}, {4, 3}, {5, 3}, {6, 3}} {
+		t.Run(fmt.Sprint(size.count, " replicas"), func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			cell := startDiskCell(ctx, c, size.count, size.founders)
+			cell.awaitWhole(quorumTimeout)
+			longest := time.Duration(0)
+			for round := range 2 {
+				for at, replica := range cell.replicas {
+					replica.full.Store(true)
+					for until := time.Now().Add(fullSpans[(round+at)%len(fullSpans)]); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+						took, acknowledged := cell.change(quorumTimeout)
+						longest = max(longest, took)
+						c.Check(acknowledged, qt.IsTrue, qt.Commentf("not acknowledged for %s while the disk of replica %d was full; the test's process stood still for up to %s", took, at, time.Duration(stall.Load())))
+					}
+					replica.full.Store(false)
+				}
+			}
+			took, acknowledged := cell.change(ackTimeout)
+			c.Check(acknowledged, qt.IsTrue, qt.Commentf("%s after the last disk had room; the test's process stood still for up to %s", took, time.Duration(stall.Load())))
+			cell.awaitWhole(ackTimeout)
+			c.Logf("at most %s to an acknowledgement while a disk was full, %s after that; the process stood still for up to %s", longest, took, time.Duration(stall.Load()))
+			for at, replica := range cell.replicas {
+				c.Check(replica.ends.Load() > 0, qt.IsTrue, qt.Commentf("the full disk of replica %d ended nothing", at))
+			}
+		})
+	}
+}
+
+// measureStall returns the longest time for which the process's timers have been late,
+// which tells a busy machine from a cell that accepts nothing.
+func measureStall(ctx context.Context) *atomic.Int64 {
+	stall := &atomic.Int64{}
+	go func() {
+		for last := time.Now(); ctx.Err() == nil; last = time.Now() {
+			time.Sleep(stallInterval)
+			stall.Store(max(stall.Load(), int64(time.Since(last)-stallInterval)))
+		}
+	}()
+	return stall
+}
+
+// stallInterval is the interval at which measureStall looks at the clock.
+const stallInterval = 10 * time.Millisecond
+
+// fullSpans are how long disks are full: shorter and longer than the time after which
+// a silent voter's vote goes to a learner.
+var fullSpans = []time.Duration{time.Second, 3 * time.Second, 2 * time.Second, 3500 * time.Millisecond}
--- a/internal/cellrunner/identity.go
+++ b/internal/cellrunner/identity.go
@@ -41,11 +41,11 @@
 func (identity *identity) hadVote() bool { return identity.Joined || len(identity.Initial) > 0 }
 
 // loadIdentity reads the identity file, or creates one in an empty data folder.
-func loadIdentity(settings *Settings) (*identity, error) {
-	path := filepath.Join(settings.DataFolder, identityFile)
+func loadIdentity(config journaler.Config) (*identity, error) {
+	path := filepath.Join(config.Folder, identityFile)
 	data, err := os.ReadFile(path)
 	if errors.Is(err, os.ErrNotExist) {
-		return createIdentity(settings)
+		return createIdentity(config)
 	}
 	if err != nil {
 		return nil, eris.Wrap(err, "read identity")
@@ -54,32 +54,32 @@
 	if err := encoder.Unmarshal(data, identity); err != nil {
 		return nil, eris.Wrapf(err, "decode identity file %s", path)
 	}
-	if identity.Cell != settings.CellName {
-		return nil, eris.Errorf("the data folder belongs to cell %s, not %s", identity.Cell, settings.CellName)
+	if identity.Cell != config.Cell {
+		return nil, eris.Errorf("the data folder belongs to cell %s, not %s", identity.Cell, config.Cell)
 	}
 	return identity, nil
 }
 
 // createIdentity writes an identity with a new ID. It fails if the folder has a
 // log but no identity, since it is unknown which replica the log belongs to.
-func createIdentity(settings *Settings) (*identity, error) {
-	segments, err := journaler.Segments(settings.DataFolder)
+func createIdentity(config journaler.Config) (*identity, error) {
+	segments, err := journaler.Segments(config.Folder)
 	if err != nil {
 		return nil, err
 	}
 	if len(segments) > 0 {
-		return nil, eris.Errorf("data folder %s has a log but no identity file", settings.DataFolder)
+		return nil, eris.Errorf("data folder %s has a log but no identity file", config.Folder)
 	}
-	identity := &identity{Cell: settings.CellName, ID: journaler.ReplicaID(uuid.NewString())}
-	return identity, identity.save(settings)
+	identity := &identity{Cell: config.Cell, ID: journaler.ReplicaID(uuid.NewString())}
+	return identity, identity.save(config)
 }
 
-func (identity *identity) save(settings *Settings) error {
+func (identity *identity) save(config journaler.Config) error {
 	data, err := encoder.Marshal(identity)
 	if err != nil {
 		return err
 	}
-	return journaler.WriteFile(filepath.Join(settings.DataFolder, identityFile), data)
+	return journaler.WriteFile(config, identityFile, data)
 }
 
 // formation lets replicas with empty data folders agree on the first membership
@@ -109,10 +109,9 @@
 
 // run retries until the replica belongs to a cell, and saves its identity.
 func (formation *formation) run(ctx context.Context) error {
-	settings := formation.runner.settings
 	for {
 		if formed := formation.formOrJoin(ctx); formed != nil {
-			if err := formed.save(settings); err != nil {
+			if err := formed.save(formation.runner.journalConfig()); err != nil {
 				return err
 			}
 			formation.identity.Store(formed)
@@ -223,7 +222,7 @@
 		if isVoter(status.Members, status.ID) {
 			joined := *formation.identity.Load()
 			joined.Joined = true
-			if err := joined.save(runner.settings); err != nil {
+			if err := joined.save(runner.journalConfig()); err != nil {
 				return err
 			}
 			formation.identity.Store(&joined)
--- a/internal/cellrunner/members_test.go
+++ b/internal/cellrunner/members_test.go
@@ -93,6 +93,45 @@
 	}
 }
 
+// TestAVoteOnItsWayToALearnerCostsNoLoss checks each membership on the way: a cell whose
+// leader is lost between two changes needs the silent voter's return, and no more.
+func TestAVoteOnItsWayToALearnerCostsNoLoss(t *testing.T) {
+	c := qt.New(t)
+	tolerated := func(members []journaler.Member) int {
+		voters := 0
+		for _, member := range members {
+			if member.Voter {
+				voters++
+			}
+		}
+		return (voters - 1) / 2
+	}
+	gone := func(id journaler.ReplicaID) bool { return id == "1" }
+	alive := func(id journaler.ReplicaID) bool { return id != "1" && id != "0" }
+	for voters := 3; voters <= 7; voters += 2 {
+		members := makeMembers(voters, 1)
+		want := tolerated(members)
+		for next := members; next != nil; next = cellrunner.NextMembers(next, alive, gone) {
+			c.Check(tolerated(next), qt.Equals, want, qt.Commentf("%+v", next))
+		}
+	}
+}
+
+// TestAVoterThatReturnsBetweenTheChangesLeavesAnOddNumber has a silent voter return after
+// a learner got a vote, and before it lost its own.
+func TestAVoterThatReturnsBetweenTheChangesLeavesAnOddNumber(t *testing.T) {
+	c := qt.New(t)
+	none := func(journaler.ReplicaID) bool { return false }
+	allButTheLeader := func(id journaler.ReplicaID) bool { return id != "0" }
+	for _, voters := range []int{4, 6} {
+		next := cellrunner.NextMembers(makeMembers(voters, 0), allButTheLeader, none)
+		c.Assert(next, qt.HasLen, voters)
+		c.Check(next[0].Voter, qt.IsTrue, qt.Commentf("the leader keeps its vote"))
+		c.Check(cellrunner.NextMembers(next, allButTheLeader, none), qt.IsNil)
+	}
+	c.Check(cellrunner.NextMembers(makeMembers(2, 0), allButTheLeader, none), qt.IsNil, qt.Commentf("entries would be on one disk"))
+}
+
 // TestASilentVoterKeepsItsVoteWithoutALearner checks that a voter that is only silent
 // for a while is not dropped if nobody can take its place.
 func TestASilentVoterKeepsItsVoteWithoutALearner(t *testing.T) {
--- a/internal/cellrunner/runner.go
+++ b/internal/cellrunner/runner.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync/atomic"
 	"syscall"
@@ -47,6 +48,10 @@
 	startedAt time.Duration
 	// Wall reads the wall clock. Tests may replace it before Run.
 	Wall func() time.Time
+	// Write and Sync write the replica's files and make them durable; nil means the
+	// methods of *os.File. Tests may set them before Run to simulate a full disk.
+	Write func(*os.File, []byte) (int, error)
+	Sync  func(*os.File) error
 	// commandClock is the clock of this replica's current or last leadership.
 	commandClock atomic.Pointer[commandClock]
 	// workerCalls is nil if the replica does not serve staged jobs.
@@ -94,7 +99,7 @@
 	if err := runner.certifier.Load(); err != nil {
 		return err
 	}
-	identity, err := loadIdentity(runner.settings)
+	identity, err := loadIdentity(runner.journalConfig())
 	if err != nil {
 		return err
 	}
@@ -230,17 +235,25 @@
 	group.Add(func() error { return actor(ctx) }, func(error) { cancel() })
 }
 
-// openNode recovers the journal and creates the node from the recovered state.
-func (runner *Runner) openNode(ctx context.Context) (*replicator.Node, *journaler.Journal, error) {
-	identity := runner.formation.identity.Load()
-	journal, recovered, err := journaler.Open(journaler.Config{
+// journalConfig returns the configuration of the journal, without its Replica.
+func (runner *Runner) journalConfig() journaler.Config {
+	return journaler.Config{
 		Folder:       runner.settings.DataFolder,
 		Cell:         runner.settings.CellName,
-		Replica:      identity.ID,
 		SegmentBytes: runner.settings.SegmentBytes,
 		RetainBytes:  runner.settings.RetainBytes,
 		RetainAge:    runner.settings.RetainAge,
-	})
+		Write:        runner.Write,
+		Sync:         runner.Sync,
+	}
+}
+
+// openNode recovers the journal and creates the node from the recovered state.
+func (runner *Runner) openNode(ctx context.Context) (*replicator.Node, *journaler.Journal, error) {
+	identity := runner.formation.identity.Load()
+	config := runner.journalConfig()
+	config.Replica = identity.ID
+	journal, recovered, err := journaler.Open(config)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -336,12 +349,16 @@
 //
 // A silent voter's vote goes to a caught-up learner, since it may be gone for good, with
 // its successor at another address: as long as it counts, the cell tolerates one loss
-// less. It stays a member, and catches up if it returns.
+// less. It stays a member, and catches up if it returns. The learner is promoted first:
+// with one voter fewer, the cell would have no quorum if the leader were lost between the
+// two changes, even if the silent voter had returned.
 func NextMembers(members []journaler.Member, caughtUp, silent func(journaler.ReplicaID) bool) []journaler.Member {
 	voters := 0
+	anySilent := false
 	for _, member := range members {
 		if member.Voter {
 			voters++
+			anySilent = anySilent || silent(member.ID)
 		}
 	}
 	for index, learner := range members {
@@ -355,16 +372,31 @@
 		if replaced >= 0 {
 			return slices.Delete(next, replaced, replaced+1)
 		}
-		if voters >= maxVoters(len(members)) {
-			lost := slices.IndexFunc(members, func(member journaler.Member) bool { return member.Voter && silent(member.ID) })
-			if lost < 0 {
-				continue
-			}
-			next[lost].Voter = false
+		if voters < maxVoters(len(members)) || anySilent {
+			next[index].Voter = true
+			return next
+		}
+	}
+	if voters > max(maxVoters(len(members)), minVoters) {
+		return withoutSurplusVoter(members, caughtUp, silent)
+	}
+	return nil
+}
+
+// minVoters is the number of voters below which none is demoted: entries would be
+// committed on a single disk.
+const minVoters = 2
+
+// withoutSurplusVoter demotes a voter: a silent one, or else one that has caught up, which
+// the leader itself never counts as. It returns nil if there is none.
+func withoutSurplusVoter(members []journaler.Member, caughtUp, silent func(journaler.ReplicaID) bool) []journaler.Member {
+	for _, surplus := range []func(journaler.ReplicaID) bool{silent, caughtUp} {
+		at := slices.IndexFunc(members, func(member journaler.Member) bool { return member.Voter && surplus(member.ID) })
+		if at >= 0 {
+			next := slices.Clone(members)
+			next[at].Voter = false
 			return next
 		}
-		next[index].Voter = true
-		return next
 	}
 	return nil
 }
--- a/journaler/journal.go
+++ b/journaler/journal.go
@@ -79,15 +79,7 @@
 // Open recovers the content of the folder and starts a new segment to append
 // to. It fails if the files are damaged anywhere but at the end.
 func Open(config Config) (*Journal, *Recovered, error) {
-	if config.Sync == nil {
-		config.Sync = (*os.File).Sync
-	}
-	if config.Write == nil {
-		config.Write = (*os.File).Write
-	}
-	if config.Now == nil {
-		config.Now = time.Now
-	}
+	config = config.withDefaults()
 	if err := os.MkdirAll(config.Folder, folderPermission); err != nil {
 		return nil, nil, eris.Wrapf(err, "create data folder %s", config.Folder)
 	}
@@ -110,6 +102,19 @@
 	return journal, &recovery.result, nil
 }
 
+func (config Config) withDefaults() Config {
+	if config.Sync == nil {
+		config.Sync = (*os.File).Sync
+	}
+	if config.Write == nil {
+		config.Write = (*os.File).Write
+	}
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	return config
+}
+
 // Save appends a batch and returns once it is durable. An entry whose index is
 // already in the log replaces the entry there and all later ones.
 func (journal *Journal) Save(hardState HardState, entries []Entry) error {
@@ -237,10 +242,10 @@
 	return eris.Wrap(journal.segmentFile.Close(), "close segment")
 }
 
-// WriteFile durably and atomically replaces a small file: readers see either
-// the old content or the new.
-func WriteFile(path string, content []byte) error {
-	return writeFile(path, content, Config{Sync: (*os.File).Sync, Write: (*os.File).Write})
+// WriteFile durably and atomically replaces a small file in the config's folder, with
+// its Write and Sync: readers see either the old content or the new.
+func WriteFile(config Config, name string, content []byte) error {
+	return writeFile(filepath.Join(config.Folder, name), content, config.withDefaults())
 }
 
 func writeFile(path string, content []byte, config Config) error {
