--- a/journaler/journal.go
+++ b/journaler/journal.go
@@ -83,6 +83,9 @@
 	if err := os.MkdirAll(config.Folder, folderPermission); err != nil {
 		return nil, nil, eris.Wrapf(err, "create data folder %s", config.Folder)
 	}
+	if err := removeTemporaryFiles(config.Folder); err != nil {
+		return nil, nil, err
+	}
 	snapshot, err := newestSnapshot(config.Folder)
 	if err != nil {
 		return nil, nil, err
@@ -248,8 +251,26 @@
 	return writeFile(filepath.Join(config.Folder, name), content, config.withDefaults())
 }
 
+// temporarySuffix is the suffix of a file whose writing is not finished.
+const temporarySuffix = ".new"
+
+// removeTemporaryFiles removes what a crash left of files that were being written. On a
+// full disk, their space may be all that the log needs.
+func removeTemporaryFiles(folder string) error {
+	paths, err := filesWithSuffix(folder, temporarySuffix)
+	if err != nil {
+		return err
+	}
+	for _, path := range paths {
+		if err := os.Remove(path); err != nil {
+			return eris.Wrap(err, "remove an unfinished file")
+		}
+	}
+	return nil
+}
+
 func writeFile(path string, content []byte, config Config) error {
-	temporaryPath := path + ".new"
+	temporaryPath := path + temporarySuffix
 	file, err := os.OpenFile(temporaryPath, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, filePermission)
 	if err != nil {
 		return eris.Wrapf(err, "create %s", temporaryPath)
@@ -259,10 +280,10 @@
 		err = config.Sync(file)
 	}
 	if err := errors.Join(err, file.Close()); err != nil {
-		return eris.Wrapf(err, "write %s", temporaryPath)
+		return eris.Wrapf(errors.Join(err, os.Remove(temporaryPath)), "write %s", temporaryPath)
 	}
 	if err := os.Rename(temporaryPath, path); err != nil {
-		return eris.Wrapf(err, "rename %s", temporaryPath)
+		return eris.Wrapf(errors.Join(err, os.Remove(temporaryPath)), "rename %s", temporaryPath)
 	}
 	return syncFolder(filepath.Dir(path), config.Sync)
 }
--- a/journaler/journal_test.go
+++ b/journaler/journal_test.go
@@ -228,6 +228,56 @@
 	}
 }
 
+// boundedDisk returns a Write that fails once the folder's files have the capacity in
+// bytes, after the part of the data for which there is room.
+func boundedDisk(c *qt.C, folder string, capacity int64) func(*os.File, []byte) (int, error) {
+	return func(file *os.File, data []byte) (int, error) {
+		files, err := os.ReadDir(folder)
+		c.Assert(err, qt.IsNil)
+		room := capacity
+		for _, entry := range files {
+			info, err := entry.Info()
+			c.Assert(err, qt.IsNil)
+			room -= info.Size()
+		}
+		if int64(len(data)) <= room {
+			return file.Write(data)
+		}
+		count, _ := file.Write(data[:max(room, 0)])
+		return count, syscall.ENOSPC
+	}
+}
+
+// TestASnapshotThatDoesNotFitLeavesRoomForTheLog writes snapshots to a disk that is too
+// small for them. What was written of them, now or before a crash, must not keep the
+// replica from starting.
+func TestASnapshotThatDoesNotFitLeavesRoomForTheLog(t *testing.T) {
+	c := qt.New(t)
+	folder := t.TempDir()
+	config := testConfig(folder)
+	config.Write = boundedDisk(c, folder, 4000)
+	journal, _, err := journaler.Open(config)
+	c.Assert(err, qt.IsNil)
+	entries := makeEntries(journaler.Chain{}, 1, 1, 6)
+	c.Assert(journal.Save(journaler.HardState{Term: 1, Commit: 6}, entries), qt.IsNil)
+	for _, entry := range entries[:3] {
+		snapshot := snapshotOf(entry)
+		snapshot.Data = make([]byte, 5000)
+		c.Assert(errors.Is(journal.SaveSnapshot(snapshot), syscall.ENOSPC), qt.IsTrue)
+		c.Assert(journal.Save(journaler.HardState{Term: 1, Commit: 6}, nil), qt.IsNil)
+	}
+	c.Assert(journal.Close(), qt.IsNil)
+	crashed, err := os.Create(filepath.Join(folder, "00000000000000000005-00000000000000000001.snapshot.new"))
+	c.Assert(err, qt.IsNil)
+	_, err = config.Write(crashed, make([]byte, 5000))
+	c.Assert(errors.Is(err, syscall.ENOSPC), qt.IsTrue)
+	c.Assert(crashed.Close(), qt.IsNil)
+	journal, recovered, err := journaler.Open(config)
+	c.Assert(err, qt.IsNil)
+	c.Check(recovered.Entries, qt.DeepEquals, entries)
+	c.Assert(journal.Close(), qt.IsNil)
+}
+
 func TestCrashWhileASnapshotIsWritten(t *testing.T) {
 	c := qt.New(t)
 	folder := t.TempDir()
