journaler: an Open that fails closes its segment

Each try that could create its segment, but not write to it, left the file open until a garbage collection, which may be minutes away in a process that does nothing else. TestAFailedOpenClosesItsSegment said before

journal_test.go:293: value is not true, got: bool(false)

and passes with the other tests of journaler now.

--- a/journaler/journal.go
+++ b/journaler/journal.go
@@ -100,7 +100,7 @@
 		installedIndex = snapshot.Index
 	}
 	if err := journal.startSegment(installedIndex); err != nil {
-		return nil, nil, err
+		return nil, nil, errors.Join(err, journal.closeSegment())
 	}
 	return journal, &recovery.result, nil
 }
@@ -188,10 +188,8 @@
 }
 
 func (journal *Journal) createSegment(installedIndex uint64) error {
-	if journal.segmentFile != nil {
-		if err := journal.segmentFile.Close(); err != nil {
-			return eris.Wrap(err, "close segment")
-		}
+	if err := journal.closeSegment(); err != nil {
+		return err
 	}
 	sequence, err := nextSequence(journal.config.Folder)
 	if err != nil {
@@ -241,7 +239,13 @@
 }
 
 // Close closes the open segment.
-func (journal *Journal) Close() error {
+func (journal *Journal) Close() error { return journal.closeSegment() }
+
+// closeSegment closes the open segment, if there is one.
+func (journal *Journal) closeSegment() error {
+	if journal.segmentFile == nil {
+		return nil
+	}
 	return eris.Wrap(journal.segmentFile.Close(), "close segment")
 }
 
--- a/journaler/journal_test.go
+++ b/journaler/journal_test.go
@@ -278,6 +278,21 @@
 	c.Assert(journal.Close(), qt.IsNil)
 }
 
+// TestAFailedOpenClosesItsSegment opens a journal on a full disk, as a replica does
+// again and again until there is room.
+func TestAFailedOpenClosesItsSegment(t *testing.T) {
+	c := qt.New(t)
+	config := testConfig(t.TempDir())
+	var segment *os.File
+	config.Write = func(file *os.File, _ []byte) (int, error) {
+		segment = file
+		return 0, syscall.ENOSPC
+	}
+	_, _, err := journaler.Open(config)
+	c.Assert(errors.Is(err, syscall.ENOSPC), qt.IsTrue)
+	c.Check(errors.Is(segment.Close(), os.ErrClosed), qt.IsTrue)
+}
+
 func TestCrashWhileASnapshotIsWritten(t *testing.T) {
 	c := qt.New(t)
 	folder := t.TempDir()
