A replica that lost its disk no longer keeps a vote beside a full set of voters

Cause: a replica that comes back with an empty disk joins as a new member, beside its old identity. NextMembers took the number of members for that of replicas: six replicas and the dead identity made seven, so the spare learner got a sixth vote in addition to the dead one, and not in its place. Four of six votes were needed then. The class of fault: a count of names in place of a count of what can run; the same list is counted nowhere else.

The new test failed before:

members_test.go:116: value is not false the disk of replica 1 is lost, but it votes: [0 1 2 3 4 5]

--- a/internal/cellrunner/members_test.go
+++ b/internal/cellrunner/members_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -93,6 +94,29 @@
 	}
 }
 
+// TestAReplicaWithANewDiskCountsOnce has a new replica with an empty disk at the address
+// of a voter, which has not caught up, and a spare learner that has. A cell of six that
+// may lose two disks would otherwise lose its quorum with the next two.
+func TestAReplicaWithANewDiskCountsOnce(t *testing.T) {
+	c := qt.New(t)
+	heard := func(journaler.ReplicaID) bool { return false }
+	for voters := 3; voters <= 7; voters += 2 {
+		members := append(makeMembers(voters, 1), journaler.Member{ID: "new", Address: "a1"})
+		caughtUp := func(id journaler.ReplicaID) bool { return id != "1" && id != "new" && id != "0" }
+		for next := members; next != nil; next = cellrunner.NextMembers(next, caughtUp, heard) {
+			members = next
+		}
+		var got []journaler.ReplicaID
+		for _, member := range members {
+			if member.Voter {
+				got = append(got, member.ID)
+			}
+		}
+		c.Check(got, qt.HasLen, voters, qt.Commentf("voters %v", got))
+		c.Check(slices.Contains(got, "1"), qt.IsFalse, qt.Commentf("the disk of replica 1 is lost, but it votes: %v", got))
+	}
+}
+
 // TestAVoteOnItsWayToALearnerCostsNoLoss checks each membership on the way: a cell whose
 // leader is lost between two changes needs the silent voter's return, and no more.
 func TestAVoteOnItsWayToALearnerCostsNoLoss(t *testing.T) {
--- a/internal/cellrunner/runner.go
+++ b/internal/cellrunner/runner.go
@@ -347,18 +347,21 @@
 // one fewer and has no quorum if a partition splits it in halves, so one
 // replica of an even number stays a learner.
 //
-// A silent voter's vote goes to a caught-up learner, since it may be gone for good, with
-// its successor at another address: as long as it counts, the cell tolerates one loss
-// less. It stays a member, and catches up if it returns. The learner is promoted first:
-// with one voter fewer, the cell would have no quorum if the leader were lost between the
-// two changes, even if the silent voter had returned.
+// The vote of a lost voter goes to a caught-up learner: as long as a voter that is gone for
+// good counts, the cell tolerates one loss less. A voter is lost if it is silent, since its
+// successor may be at another address, or if a new replica has taken its address, which
+// shows that its disk is gone. It stays a member, and a silent one catches up if it returns.
+// The learner is promoted first: with one voter fewer, the cell would have no quorum if the
+// leader were lost between the two changes, even if the silent voter had returned.
 func NextMembers(members []journaler.Member, caughtUp, silent func(journaler.ReplicaID) bool) []journaler.Member {
+	lost := func(id journaler.ReplicaID) bool { return silent(id) || superseded(members, id) }
+	limit := maxVoters(countAddresses(members))
 	voters := 0
-	anySilent := false
+	anyLost := false
 	for _, member := range members {
 		if member.Voter {
 			voters++
-			anySilent = anySilent || silent(member.ID)
+			anyLost = anyLost || lost(member.ID)
 		}
 	}
 	for index, learner := range members {
@@ -372,25 +375,43 @@
 		if replaced >= 0 {
 			return slices.Delete(next, replaced, replaced+1)
 		}
-		if voters < maxVoters(len(members)) || anySilent {
+		if voters < limit || voters == limit && anyLost {
 			next[index].Voter = true
 			return next
 		}
 	}
-	if voters > max(maxVoters(len(members)), minVoters) {
-		return withoutSurplusVoter(members, caughtUp, silent)
+	if voters > max(limit, minVoters) {
+		return withoutSurplusVoter(members, caughtUp, lost)
 	}
 	return nil
 }
 
+// superseded reports whether a learner has the address of the voter with the given ID.
+func superseded(members []journaler.Member, id journaler.ReplicaID) bool {
+	voter := slices.IndexFunc(members, func(member journaler.Member) bool { return member.ID == id && member.Voter })
+	return voter >= 0 && slices.ContainsFunc(members, func(member journaler.Member) bool {
+		return !member.Voter && member.Address == members[voter].Address
+	})
+}
+
+// countAddresses returns the number of replicas that can run: two members with one
+// address are a replica that is lost and its successor.
+func countAddresses(members []journaler.Member) int {
+	addresses := make(map[string]struct{})
+	for _, member := range members {
+		addresses[member.Address] = struct{}{}
+	}
+	return len(addresses)
+}
+
 // minVoters is the number of voters below which none is demoted: entries would be
 // committed on a single disk.
 const minVoters = 2
 
-// withoutSurplusVoter demotes a voter: a silent one, or else one that has caught up, which
+// withoutSurplusVoter demotes a voter: a lost one, or else one that has caught up, which
 // the leader itself never counts as. It returns nil if there is none.
-func withoutSurplusVoter(members []journaler.Member, caughtUp, silent func(journaler.ReplicaID) bool) []journaler.Member {
-	for _, surplus := range []func(journaler.ReplicaID) bool{silent, caughtUp} {
+func withoutSurplusVoter(members []journaler.Member, caughtUp, lost func(journaler.ReplicaID) bool) []journaler.Member {
+	for _, surplus := range []func(journaler.ReplicaID) bool{lost, caughtUp} {
 		at := slices.IndexFunc(members, func(member journaler.Member) bool { return member.Voter && surplus(member.ID) })
 		if at >= 0 {
 			next := slices.Clone(members)
