cellrunner: a full disk while joining ends no replica

A replica on a full disk ended, and was started and ended again until there was room, if the disk was full when it made its identity, when it recorded that it belongs to a cell, or when it recorded its first vote. Each such end breaks off what the process serves as a relay meanwhile, and counts as one of its own.

All four writes now wait for room in the same way, and a replica that is told to stop meanwhile stops without an error. TestAFullDiskWhileJoiningEndsNoReplica refuses each write of the identity and the first of the log once; before, it said

fulldisk_test.go:264: values are not equal, got: int64(2), want: int64(0)

--- a/internal/cellrunner/fulldisk_test.go
+++ b/internal/cellrunner/fulldisk_test.go
@@ -6,7 +6,9 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -43,13 +45,15 @@
 	address, metricsAddress string
 	settings                *cellrunner.Settings
 	full                    atomic.Bool
+	// refuses, if set, reports whether the disk is full for a write to the named file.
+	refuses func(name string) bool
 	// ends counts how often the replica has ended by itself.
 	ends atomic.Int64
 }
 
 // write fails while the disk is full, after a random part of the data.
 func (diskReplica *diskReplica) write(file *os.File, data []byte) (int, error) {
-	if !diskReplica.full.Load() {
+	if !diskReplica.full.Load() && (diskReplica.refuses == nil || !diskReplica.refuses(filepath.Base(file.Name()))) {
 		return file.Write(data)
 	}
 	count, _ := file.Write(data[:rand.IntN(len(data))])
@@ -107,6 +111,12 @@
 // startDiskCell starts a cell that the first founders replicas form and the others
 // join. It runs until the context ends.
 func startDiskCell(ctx context.Context, c *qt.C, count, founders int) *diskCell {
+	cell := newDiskCell(c, count, founders)
+	cell.start(ctx)
+	return cell
+}
+
+func newDiskCell(c *qt.C, count, founders int) *diskCell {
 	cell := &diskCell{c: c}
 	addresses, err := launcher.FreeAddresses(2 * count)
 	c.Assert(err, qt.IsNil)
@@ -117,15 +127,20 @@
 			replica.address, strings.Join(addresses[:founders], ","), at < founders, c.TempDir(), replica.metricsAddress)
 		c.Assert(replica.settings.Set().Parse("cell.ini", []byte(text)), qt.HasLen, 0)
 		cell.replicas = append(cell.replicas, replica)
-		go replica.supervise(ctx)
 	}
 	cell.locator = locator.New(locator.Config{Addresses: addresses[:founders]})
 	c.Cleanup(cell.locator.Close)
 	cell.relayer = relayer.New(relayer.Config{Cell: "c", Name: "operator", Locator: cell.locator, Logger: log.NewNopLogger()})
-	go cell.relayer.Run(ctx)
 	return cell
 }
 
+func (cell *diskCell) start(ctx context.Context) {
+	for _, replica := range cell.replicas {
+		go replica.supervise(ctx)
+	}
+	go cell.relayer.Run(ctx)
+}
+
 // change sends the next change until it is acknowledged, and returns how long that
 // took. It returns false if the timeout passes first.
 func (cell *diskCell) change(timeout time.Duration) (time.Duration, bool) {
@@ -222,6 +237,36 @@
 	}
 }
 
+// TestAFullDiskWhileJoiningEndsNoReplica has the disk of a joining replica full at each
+// write of its identity, and while it creates its log.
+func TestAFullDiskWhileJoiningEndsNoReplica(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	cell := newDiskCell(c, 3, 2)
+	joining := cell.replicas[2]
+	var mutex sync.Mutex
+	writes := make(map[string]int)
+	joining.refuses = func(name string) bool {
+		mutex.Lock()
+		defer mutex.Unlock()
+		writes[name]++
+		return name == "Identity.new" && writes[name]%2 == 1 || strings.HasSuffix(name, ".segment") && writes[name] == 1
+	}
+	cell.start(ctx)
+	cell.awaitWhole(quorumTimeout)
+	saved := func() bool {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return writes["Identity.new"] == 6
+	}
+	for until := time.Now().Add(ackTimeout); !saved() && time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		c.Assert(joining.ends.Load(), qt.Equals, int64(0))
+	}
+	c.Check(saved(), qt.IsTrue, qt.Commentf("the identity is saved when it is made, when it belongs to a cell and when it has a vote"))
+	c.Check(joining.ends.Load(), qt.Equals, int64(0))
+}
+
 // measureStall returns the longest time for which the process's timers have been late,
 // which tells a busy machine from a cell that accepts nothing.
 func measureStall(ctx context.Context) *atomic.Int64 {
--- a/internal/cellrunner/identity.go
+++ b/internal/cellrunner/identity.go
@@ -111,10 +111,9 @@
 func (formation *formation) run(ctx context.Context) error {
 	for {
 		if formed := formation.formOrJoin(ctx); formed != nil {
-			if err := formed.save(formation.runner.journalConfig()); err != nil {
+			if err := formation.save(ctx, formed); err != nil {
 				return err
 			}
-			formation.identity.Store(formed)
 			return nil
 		}
 		select {
@@ -125,6 +124,16 @@
 	}
 }
 
+// save saves the identity, as soon as the disk has room, and then uses it.
+func (formation *formation) save(ctx context.Context, identity *identity) error {
+	runner := formation.runner
+	err := runner.waitForRoom(ctx, func() error { return identity.save(runner.journalConfig()) })
+	if err == nil {
+		formation.identity.Store(identity)
+	}
+	return err
+}
+
 // formOrJoin sends Identify to each Bootstrap address once and returns the
 // identity of a member, or nil if the replica can neither form nor join a cell
 // yet. A cell is formed only if every address has answered and none belongs to
@@ -222,10 +231,9 @@
 		if isVoter(status.Members, status.ID) {
 			joined := *formation.identity.Load()
 			joined.Joined = true
-			if err := joined.save(runner.journalConfig()); err != nil {
-				return err
+			if err := formation.save(ctx, &joined); err != nil {
+				return errUnlessDone(ctx, err)
 			}
-			formation.identity.Store(&joined)
 			break
 		}
 		if !isMember(status.Members, status.ID) || time.Since(lastLeaderAt) > leaderlessTimeout {
--- a/internal/cellrunner/runner.go
+++ b/internal/cellrunner/runner.go
@@ -99,9 +99,13 @@
 	if err := runner.certifier.Load(); err != nil {
 		return err
 	}
-	identity, err := loadIdentity(runner.journalConfig())
-	if err != nil {
+	var identity *identity
+	err := runner.waitForRoom(ctx, func() (err error) {
+		identity, err = loadIdentity(runner.journalConfig())
 		return err
+	})
+	if err != nil {
+		return errUnlessDone(ctx, err)
 	}
 	runner.formation = &formation{runner: runner}
 	runner.formation.identity.Store(identity)
@@ -195,30 +199,48 @@
 	}
 }
 
-// fullDiskRetryDelay is the delay before the journal is opened again after a full
-// disk prevented it.
+// fullDiskRetryDelay is the delay before something is written again that a full disk
+// prevented.
 const fullDiskRetryDelay = 500 * time.Millisecond
 
-func (runner *Runner) replicate(ctx context.Context) error {
-	if !runner.formation.identity.Load().Formed {
-		if err := runner.formation.run(ctx); err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
+// waitForRoom calls write until it fails for another reason than a full disk or the
+// context ends. It returns the last error.
+func (runner *Runner) waitForRoom(ctx context.Context, write func() error) error {
+	for {
+		err := write()
+		if !errors.Is(err, syscall.ENOSPC) || ctx.Err() != nil {
 			return err
 		}
-	}
-	node, journal, err := runner.openNode(ctx)
-	for errors.Is(err, syscall.ENOSPC) && ctx.Err() == nil {
-		logger.Warn(runner.logger, "disk full; opening the journal is retried", "Error", err.Error())
+		logger.Warn(runner.logger, "disk full; the write is retried", "Error", err.Error())
 		select {
 		case <-ctx.Done():
 		case <-time.After(fullDiskRetryDelay):
 		}
-		node, journal, err = runner.openNode(ctx)
 	}
-	if err != nil {
+}
+
+// errUnlessDone returns the error, or nil if the replica was to stop anyway.
+func errUnlessDone(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+func (runner *Runner) replicate(ctx context.Context) error {
+	if !runner.formation.identity.Load().Formed {
+		if err := runner.formation.run(ctx); err != nil {
+			return errUnlessDone(ctx, err)
+		}
+	}
+	var node *replicator.Node
+	var journal *journaler.Journal
+	err := runner.waitForRoom(ctx, func() (err error) {
+		node, journal, err = runner.openNode(ctx)
 		return err
+	})
+	if err != nil {
+		return errUnlessDone(ctx, err)
 	}
 	defer func() { _ = journal.Close() }()
 	var group run.Group
