SIGHUP while the settings are read no longer ends the process

What callers saw: nothing was seen of this part on its own. A SIGHUP between the start of a process and the first call of signal.Notify would end it by the signal's default action.

Change: SIGHUP is handled from before the settings are read until the process has exited. TestPlannedStopCutsNoRequest keeps 24 connections in use at an entry until it is gone, with SIGTERM and SIGHUP in five orders.

--- a/internal/programmer/programmer.go
+++ b/internal/programmer/programmer.go
@@ -55,6 +55,7 @@
 		_, _ = fmt.Fprintln(stderr, err)
 		return StatusSettings
 	}
+	hangups := notifyHangups()
 	if faults := daemon.Settings.Load(*path); len(faults) > 0 {
 		for _, fault := range faults {
 			_, _ = fmt.Fprintln(stderr, fault.Error())
@@ -66,11 +67,19 @@
 	}
 	ring := logger.NewRing(stderr)
 	defer ring.Close()
-	return serve(daemon, *path, logger.New(ring, program))
+	return serve(daemon, *path, hangups, logger.New(ring, program))
 }
 
-// reloadOnHangup reloads the settings on each SIGHUP. A program without Reload
-// ignores the signal, which would end it by default.
+// notifyHangups returns a channel of SIGHUPs. The signal stays handled until the process
+// has exited, since it would end a process that no longer handles it.
+func notifyHangups() <-chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
+// reloadOnHangup reloads the settings on each SIGHUP, until the process exits. A program
+// without Reload ignores the signal.
 func reloadOnHangup(hangups <-chan os.Signal, daemon Daemon, path string, programLogger log.Logger) {
 	for range hangups {
 		if daemon.Reload == nil {
@@ -85,15 +94,11 @@
 	}
 }
 
-func serve(daemon Daemon, path string, programLogger log.Logger) int {
+func serve(daemon Daemon, path string, hangups <-chan os.Signal, programLogger log.Logger) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	// A second signal ends the program immediately, as signals do by default.
 	context.AfterFunc(ctx, stop)
-	// SIGHUP stays handled until the process has ended: a stopping program still
-	// serves requests, and the signal's default action would cut them off.
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	go reloadOnHangup(hangups, daemon, path, programLogger)
 	logger.Info(programLogger, "started")
 	if err := daemon.Run(ctx, programLogger); err != nil {
