--- a/internal/cellrunner/metrics.go
+++ b/internal/cellrunner/metrics.go
@@ -37,6 +37,10 @@
 	}
 }
 
+// Metrics returns the set of metrics that the replica exposes, for those of other parts of
+// its process.
+func (runner *Runner) Metrics() *metrics.Set { return runner.counters.set }
+
 func (runner *Runner) writeMetrics(writer io.Writer) {
 	if node := runner.node.Load(); node != nil {
 		status := node.Status()
