An inquiry whose answer was lost frees its process

In the simulation, accepted jobs whose queue has an adviser stayed without a running task to the end while most workers were free.

Cause: an overdue inquiry was reported as lost and asked again, but counted against its process until its answer arrived or the process detached. An answer that a process can't hand over within two seconds is dropped while its connection to the leader stays: while the leader has no conductor because a batch was not committed, or while the way to the leader is cut and the way back is not. Each such answer took a process out of use for the rest of the leadership. Overdue processes also counted as busy with long inquiries, so that three quarters of them ended all long ones.

Change: an overdue inquiry counts against its process for two more seconds, and an overdue process no longer counts towards the limit of long inquiries. A process that has not been sent its earlier inquiries gets no more, so that the inquirer never blocks. An inquiry whose answer should take no time can become overdue too.

Evidence: TestALostAnswerDoesNotKeepItsProcessFromWork failed before ("no inquiry came").

--- a/inquirer/inquirer.go
+++ b/inquirer/inquirer.go
@@ -7,7 +7,9 @@
 // adviser waits here instead, where a more urgent one can overtake it. Long
 // inquiries leave a share of the processes free for short ones. The inquiries
 // of a process whose answer is overdue, or that detached, are reported as lost,
-// and the owner asks them again.
+// and the owner asks them again. An overdue inquiry keeps its process from other
+// work for a while, as the adviser may still be busy with it, but not for ever,
+// as an answer can be lost without an end of the connection.
 package inquirer
 
 import (
@@ -30,6 +32,10 @@
 	// overdueMargin is how much longer than expected an answer may take before it
 	// is overdue.
 	overdueMargin = 700 * time.Millisecond
+	// abandonAfter is how long an overdue inquiry still counts against its process.
+	// By then its answer was probably lost on its way to the leader: an adviser that
+	// answers late is most often one that was asked too much.
+	abandonAfter = 2 * time.Second
 	// minLongDuration is the expected time from which an inquiry counts as long.
 	minLongDuration = 50 * time.Millisecond
 	// One in shortReserveDivisor processes is kept free of long inquiries.
@@ -65,6 +71,8 @@
 type sentInquiry struct {
 	inquiry  *stager.Inquiry
 	deadline time.Duration
+	// overdue is true once the inquiry has been reported as lost.
+	overdue bool
 }
 
 // New returns an inquirer with no process attached.
@@ -146,11 +154,13 @@
 	inquirer.lost = nil
 	now := inquirer.config.Clock()
 	for _, process := range inquirer.processes {
+		process.inFlight = slices.DeleteFunc(process.inFlight, func(sentInquiry *sentInquiry) bool {
+			return now > sentInquiry.deadline+abandonAfter && sentInquiry.overdue
+		})
 		for _, sentInquiry := range process.inFlight {
-			if now > sentInquiry.deadline && sentInquiry.inquiry.Takes > 0 {
+			if now > sentInquiry.deadline && !sentInquiry.overdue {
 				lost = append(lost, sentInquiry.inquiry.ID())
-				// The inquiry still counts against its process until the answer arrives.
-				sentInquiry.inquiry = &stager.Inquiry{Step: sentInquiry.inquiry.Step, Part: sentInquiry.inquiry.Part}
+				sentInquiry.overdue = true
 			}
 		}
 	}
@@ -180,12 +190,7 @@
 			idle++
 		}
 	}
-	return max(0, idle-len(inquirer.processes)+inquirer.maxLong())
-}
-
-// maxLong returns how many processes may have a long inquiry.
-func (inquirer *Inquirer) maxLong() int {
-	return len(inquirer.processes) - (len(inquirer.processes)+shortReserveDivisor-1)/shortReserveDivisor
+	return max(0, idle-shortReserve(len(inquirer.processes)))
 }
 
 // dispatch sends the waiting inquiries for which a process is free. Once none is free
@@ -234,8 +239,12 @@
 		maxInFlight = maxShortInFlight
 	}
 	var best *process
-	withLong := 0
+	responsive, withLong := 0, 0
 	for _, process := range inquirer.processes {
+		if process.unresponsive() {
+			continue
+		}
+		responsive++
 		if process.hasLong() {
 			withLong++
 			continue
@@ -244,15 +253,24 @@
 			best = process
 		}
 	}
-	if long && withLong >= max(1, inquirer.maxLong()) {
+	if long && withLong >= max(1, responsive-shortReserve(responsive)) {
 		return nil
 	}
 	return best
 }
 
-// hasLong reports whether a process has a long or an overdue inquiry in flight.
+// shortReserve returns how many of the processes are kept free of long inquiries.
+func shortReserve(processes int) int {
+	return (processes + shortReserveDivisor - 1) / shortReserveDivisor
+}
+
+// unresponsive reports whether a process has an overdue inquiry in flight, or has not
+// been sent earlier ones yet.
+func (process *process) unresponsive() bool {
+	return len(process.queued) == processBuffer || slices.ContainsFunc(process.inFlight, func(sentInquiry *sentInquiry) bool { return sentInquiry.overdue })
+}
+
+// hasLong reports whether a process has a long inquiry in flight.
 func (process *process) hasLong() bool {
-	return slices.ContainsFunc(process.inFlight, func(sentInquiry *sentInquiry) bool {
-		return sentInquiry.inquiry.Takes >= minLongDuration || sentInquiry.inquiry.Takes == 0
-	})
+	return slices.ContainsFunc(process.inFlight, func(sentInquiry *sentInquiry) bool { return sentInquiry.inquiry.Takes >= minLongDuration })
 }
--- a/inquirer/inquirer_test.go
+++ b/inquirer/inquirer_test.go
@@ -173,3 +173,24 @@
 	asker.Answered(stager.InquiryID{Step: stager.StepID{Job: "1"}})
 	c.Check(next(c, got).Job, qt.Equals, stager.JobID("3"))
 }
+
+// TestALostAnswerDoesNotKeepItsProcessFromWork loses an answer while its process stays
+// attached. Once such answers had been lost at all processes, no adviser was asked any more.
+func TestALostAnswerDoesNotKeepItsProcessFromWork(t *testing.T) {
+	c := qt.New(t)
+	now := time.Duration(0)
+	asker := inquirer.New(inquirer.Config{Clock: func() time.Duration { return now }})
+	got, cancel := attach(asker)
+	defer cancel()
+	waitUntilAttached(c, asker)
+	next(c, got)
+	asker.Ask(newInquiry(1, long, 0))
+	next(c, got)
+	now = long + time.Second
+	c.Check(asker.Lost(), qt.HasLen, 1)
+	asker.Ask(newInquiry(2, long, 0))
+	expectNone(c, got)
+	now += 2 * time.Second
+	c.Check(asker.Lost(), qt.HasLen, 0)
+	c.Check(next(c, got).Job, qt.Equals, stager.JobID("2"))
+}
