--- a/Makefile
+++ b/Makefile
@@ -32,9 +32,10 @@
 	go test ./internal/soaker -count=1 -timeout=0 -v -run=TestPromisesHold -args -soak.seed=$(or $(SEED),1) -soak.faulty=$(or $(FAULTY),1m)
 
 # The same against the programs of platform/: make platform-soak SEED=7 SEEDS=10 FAULTY=15s
-# Logs stay in DOTTEREL_SOAK_FOLDER, if that is set.
+# Logs stay in a new folder of DOTTEREL_SOAK_FOLDER, if that is set. SCALE=12 makes it
+# about 110 processes.
 platform-soak:
-	go test ./platform/soaker -count=1 -timeout=0 -v -args -soak.seed=$(or $(SEED),1) -soak.seeds=$(or $(SEEDS),1) -soak.faulty=$(or $(FAULTY),15s)
+	go test ./platform/soaker -count=1 -timeout=0 -v -args -soak.seed=$(or $(SEED),1) -soak.seeds=$(or $(SEEDS),1) -soak.faulty=$(or $(FAULTY),15s) -soak.scale=$(or $(SCALE),1)
 
 # How long changes of the configuration take to be in force: make spread ROUNDS=50
 spread:
