--- a/internal/cellrunner/identity.go
+++ b/internal/cellrunner/identity.go
@@ -111,10 +111,7 @@
 func (formation *formation) run(ctx context.Context) error {
 	for {
 		if formed := formation.formOrJoin(ctx); formed != nil {
-			if err := formation.save(ctx, formed); err != nil {
-				return err
-			}
-			return nil
+			return formation.save(ctx, formed)
 		}
 		select {
 		case <-ctx.Done():
