allotter: a lasting task that is down goes before new jobs

Cause: a step's lateness is counted from when its job was accepted. A task of a lasting job that fails later than three objectives after that belonged to a job "whose callers have stopped waiting", and went last: its question to the adviser waited for 16.4 s behind those of newer jobs (the line `advice` says TookMillis 16443), and the workers that earlier answers had approved were taken by others in the same pass. Nothing else uses the time of acceptance so: occurrences of scheduled jobs count from their own due time.

Change: lasting steps are never late, so that the one with the earliest latest start goes first.

Evidence: TestALastingTaskThatIsDownGoesBeforeNewJobs failed before: got "swap", want "watch". The tests of allotter and conductor pass.

--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -138,6 +138,21 @@
 	fixture.c.Check(summary, qt.Equals, allotter.Summary{Placed: 2, NoRoom: 1})
 }
 
+// TestALastingTaskThatIsDownGoesBeforeNewJobs has a task of a job that was accepted long
+// ago fail on a fleet without room for all.
+func TestALastingTaskThatIsDownGoesBeforeNewJobs(t *testing.T) {
+	fixture := newFixture(t, 1, false)
+	lasting := step(1, 8, 400)
+	lasting.Lasting = true
+	fixture.submit("watch", "draw", lasting)
+	fixture.run()
+	fixture.now = 60000
+	fixture.apply(stager.Command{End: &stager.End{Task: stager.TaskID{StepID: stager.StepID{Job: "watch"}}, Attempt: 1, How: stager.Failing}})
+	fixture.submit("swap", "swap", step(1, 4, 500))
+	fixture.run()
+	fixture.c.Check(fixture.placed, qt.DeepEquals, []string{"watch"})
+}
+
 func TestGangsArePlacedWholeOrNotAtAll(t *testing.T) {
 	fixture := newFixture(t, 2, false)
 	gang := step(5, 4, 1000)
--- a/allotter/order.go
+++ b/allotter/order.go
@@ -24,6 +24,7 @@
 	gangAttempt modeller.Attempt
 	// urgency is 0 while the job can be on time, 1 if it is late, and 2 if
 	// its callers are assumed to have stopped waiting. Lower values go first.
+	// It is always 0 for a lasting step.
 	urgency int
 	// needsFastWorker is true if the job would be late on a worker that takes
 	// twice the usual time.
@@ -90,6 +91,9 @@
 	step.latestStart = releasedAt + objective - paths[step.id.Step]
 	step.needsFastWorker = step.latestStart-allotter.config.Now < paths[step.id.Step]
 	switch {
+	case step.spec.Lasting:
+		// What waits are often tasks that ran and are down, which is not seen from when
+		// their job was accepted.
 	case allotter.config.Now > releasedAt+abandonedAfterObjectives*objective:
 		step.urgency = 2
 	case allotter.config.Now > step.latestStart:
