conductor: endings are acknowledged to a worker only once

A task whose run had ended `failed` on a worker's new incarnation was started again as if it had not failed: one start more than its queue allows (BUDGET); a run that had ended `done` would be repeated (TWICE).

Cause: each hold carried the number of the last ending that was committed, also when the worker had forgotten that ending long ago. A worker that starts again under its name counts its endings from 1. If it takes a start before anyone hears of its restart, and the run ends before the first hold arrives, that hold makes it forget the new ending unread. Only then the answer tells that the incarnation is another one; the run is stopped, is not listed, and counts as never begun.

A hold now acknowledges only what no answered hold has acknowledged before. For an idle worker, where no call is in flight that a restart would break, this is nothing. A hold that does acknowledge follows at once upon the answer that listed the endings.

--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -51,7 +51,12 @@
 	if !wanted {
 		return
 	}
-	order := &HoldOrder{Fence: conductor.state.Term, Observed: connection.committedEnding, Wait: conductor.holdWait(connection)}
+	order := &HoldOrder{Fence: conductor.state.Term, Wait: conductor.holdWait(connection)}
+	if connection.committedEnding > connection.acknowledgedEnding {
+		// Endings are acknowledged once: a new incarnation that is not known yet would
+		// discard its own.
+		order.Observed = connection.committedEnding
+	}
 	if len(connection.attempts) > 0 {
 		order.Expires = conductor.nextLeaseEnd(connection)
 	}
