conductor: a commit does not acknowledge old endings to a new incarnation

The same loss as before on another path: a failed run on a worker's new incarnation is acknowledged unread and not counted.

Cause: an ending is acknowledged once it is committed. If the worker's restart becomes known while the commit is in flight, the numbers are reset, but the effect of the commit then sets them to the old incarnation's again, and the next hold to the new one acknowledges endings that it never listed.

The effect now applies only to the incarnation that listed the endings. The test failed before: it wants 1 failure of the task and got 0.

--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -270,8 +270,10 @@
 	if newest == connection.committedEnding {
 		return
 	}
+	successor := connection.successor
 	conductor.afterCommit(func(err error) {
-		if err == nil {
+		// The endings of each incarnation have numbers of their own.
+		if err == nil && connection.successor == successor {
 			connection.committedEnding = max(connection.committedEnding, newest)
 		}
 	})
--- a/conductor/observed_test.go
+++ b/conductor/observed_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -54,3 +55,49 @@
 	defer fleet.mutex.Unlock()
 	c.Check(fleet.starts, qt.DeepEquals, []string{"j.0.0.0", "j.0.0.0"})
 }
+
+// TestAnEndingCommittedAfterARestartIsNotAcknowledgedToTheNewIncarnation guards against
+// the same loss when the commit of an old ending takes longer than the restart.
+func TestAnEndingCommittedAfterARestartIsNotAcknowledgedToTheNewIncarnation(t *testing.T) {
+	c := qt.New(t)
+	fleet := newFleet(t, nil)
+	fleet.mutex.Lock()
+	fleet.forgetObserved()
+	fleet.mutex.Unlock()
+	fleet.announce("w", 4)
+	fleet.submit("j", singleCoreStep(2))
+	fleet.await("the starts", func() bool { return len(fleet.running["w"]) == 2 })
+
+	commitGate, holdGate := make(chan struct{}), make(chan struct{})
+	fleet.mutex.Lock()
+	fleet.commitGate = commitGate
+	holds := len(fleet.holdOrder)
+	fleet.finish("w", "j.0.0.0", stager.Succeeding)
+	fleet.mutex.Unlock()
+	fleet.await("the ending's report", func() bool { return len(fleet.holdOrder) > holds })
+	fleet.mutex.Lock()
+	fleet.holdGate = holdGate
+	holds = len(fleet.holdOrder)
+	fleet.mutex.Unlock()
+	fleet.await("the next hold", func() bool { return len(fleet.holdOrder) > holds && fleet.holdsInFlight > 0 })
+
+	fleet.mutex.Lock()
+	order := fleet.running["w"]["j.0.0.1"]
+	fleet.incarnations["w"], fleet.running["w"] = 2, nil
+	fleet.endings["w"] = []conductor.EndedAttempt{{Number: 1, Task: order.Task, Attempt: order.Attempt, How: stager.Failing}}
+	fleet.mutex.Unlock()
+	go fleet.announceIncarnation("w", 4, 2)
+	fleet.await("the stop on the new incarnation", func() bool { return slices.Contains(fleet.stops, "j.0.0.1") })
+	fleet.mutex.Lock()
+	fleet.commitGate, fleet.holdGate = nil, nil
+	fleet.mutex.Unlock()
+	close(commitGate)
+	fleet.await("the commit", func() bool { return fleet.state.Jobs["j"].Live() == 1 })
+	time.Sleep(50 * time.Millisecond)
+	close(holdGate)
+	fleet.await("the next start", func() bool { return fleet.running["w"]["j.0.0.1"].Attempt == 2 })
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	task := fleet.state.Jobs["j"].Task(order.Task)
+	c.Check(task.Failures, qt.Equals, uint32(1))
+}
