conductor: a test waits for the submission that it has begun

TestCancelOfPlacementsThatAreNotCommitted ended before its submission was answered, once, in a run of the package on a loaded machine: the submission was then refused, since the conductor had stopped, and the assertion in its goroutine failed after the test had completed, which ends the whole run with a panic. The test now waits for the submission and checks it as before.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -357,7 +357,8 @@
 	gate := fleet.commitGate
 	fleet.mutex.Unlock()
 	done := make(chan *coder.Refusal, 1)
-	go func() { fleet.submit("j", singleCoreStep(5)) }()
+	submitted := make(chan struct{})
+	go func() { fleet.submit("j", singleCoreStep(5)); close(submitted) }()
 	time.Sleep(50 * time.Millisecond)
 	go func() { done <- fleet.conductor.Cancel(context.Background(), "j") }()
 	time.Sleep(50 * time.Millisecond)
@@ -366,6 +367,7 @@
 	fleet.mutex.Unlock()
 	close(gate)
 	fleet.c.Check(<-done == nil, qt.IsTrue)
+	<-submitted
 	fleet.await("the cancellation", func() bool { return fleet.status() == stager.Cancelled })
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
