launcher: a process that has ended is not late

The soak said of processes that had ended that they did not stop on SIGTERM (Fault).

Cause: Wait chooses between the process's end and its timeout at random when both have come. It now looks once more whether the process runs before it says so. The test failed before: "cell did not stop within 0s", of a process whose status had been returned already.

--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -278,10 +278,12 @@
 func (process *Process) Wait(most time.Duration) (int, error) {
 	select {
 	case <-process.done:
-		return process.command.ProcessState.ExitCode(), nil
 	case <-time.After(most):
-		return -1, eris.Errorf("%s did not stop within %s", process.Name, most)
+		if process.Alive() {
+			return -1, eris.Errorf("%s did not stop within %s", process.Name, most)
+		}
 	}
+	return process.command.ProcessState.ExitCode(), nil
 }
 
 // Alive reports whether the process is still running.
