--- a/internal/cellrunner/identity.go
+++ b/internal/cellrunner/identity.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +21,7 @@
 	"github.com/dotterelrill/dotterelrill/internal/logger"
 	"github.com/dotterelrill/dotterelrill/journaler"
 	"github.com/dotterelrill/dotterelrill/messenger"
+	"github.com/dotterelrill/dotterelrill/replicator"
 )
 
 const identityFile = "Identity"
@@ -88,6 +90,10 @@
 	runner *Runner
 	// identity is the identity that is saved in the data folder.
 	identity atomic.Pointer[identity]
+	// senderMutex guards cellMembers, and the order in which the sender is updated.
+	senderMutex sync.Mutex
+	// cellMembers are the members from the last reply to Join.
+	cellMembers []journaler.Member
 }
 
 func (formation *formation) identify(_ context.Context, request *messenger.IdentifyRequest) (*messenger.IdentifyReply, error) {
@@ -233,7 +239,8 @@
 			}
 			break
 		}
-		if !isMember(status.Members, status.ID) || time.Since(lastLeaderAt) > leaderlessTimeout {
+		unknownLeader := status.Leader != "" && !isMember(status.Members, status.Leader)
+		if !isMember(status.Members, status.ID) || unknownLeader || time.Since(lastLeaderAt) > leaderlessTimeout {
 			formation.askToJoin(ctx)
 		}
 		select {
@@ -320,15 +327,27 @@
 	if reply.Refusal != nil {
 		return false, []string{reply.Refusal.Leader}
 	}
-	// Without a membership this replica could not send replies to the leader. It
-	// gets its own one from a log entry or from the last chunk of a snapshot, both
-	// of which need many replies first.
-	if len(formation.runner.node.Load().Status().Members) == 0 {
-		formation.runner.sender.Load().SetMembers(own.ID, reply.Members)
-	}
+	formation.senderMutex.Lock()
+	defer formation.senderMutex.Unlock()
+	formation.cellMembers = reply.Members
+	formation.updateSender(formation.runner.sender.Load(), formation.runner.node.Load().Status())
 	return true, nil
 }
 
+// updateSender sets whom the replica can send to. A joining replica has no membership of
+// its own, and later that of a snapshot or an early log entry, which may lack the leader:
+// to reply, it also needs the members from the leader's reply to Join. The caller holds
+// senderMutex.
+func (formation *formation) updateSender(sender *messenger.Sender, status *replicator.Status) {
+	members := status.Members
+	if !isMember(members, status.Leader) {
+		members = slices.Concat(members, formation.cellMembers)
+	}
+	if len(members) > 0 {
+		sender.SetMembers(status.ID, members)
+	}
+}
+
 // askRelay returns the addresses of the replicas that a relay knows.
 func (formation *formation) askRelay(ctx context.Context, connection *grpc.ClientConn, own journaler.Member) []string {
 	request := &messenger.IdentifyRequest{Cell: formation.runner.cellName(), ID: own.ID}
--- a/internal/cellrunner/runner.go
+++ b/internal/cellrunner/runner.go
@@ -315,11 +315,9 @@
 // handleStatus is called by the node on each change of its status and must not
 // block.
 func (runner *Runner) handleStatus(sender *messenger.Sender, status replicator.Status) {
-	// A joining replica has no membership of its own yet. The sender keeps the
-	// members from the leader's reply to Join.
-	if len(status.Members) > 0 {
-		sender.SetMembers(status.ID, status.Members)
-	}
+	runner.formation.senderMutex.Lock()
+	runner.formation.updateSender(sender, &status)
+	runner.formation.senderMutex.Unlock()
 	logger.Info(runner.logger, "replica status", "Role", status.Role, "Term", status.Term, "Leader", status.Leader, "Members", len(status.Members), "Settled", status.Settled)
 	select {
 	case runner.statusChanged <- struct{}{}:
