--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -51,7 +51,12 @@
 	if !wanted {
 		return
 	}
-	order := &HoldOrder{Fence: conductor.state.Term, Observed: connection.committedEnding, Wait: conductor.holdWait(connection)}
+	order := &HoldOrder{Fence: conductor.state.Term, Wait: conductor.holdWait(connection)}
+	if connection.committedEnding > connection.acknowledgedEnding {
+		// Endings are acknowledged once: a new incarnation that is not known yet would
+		// discard its own.
+		order.Observed = connection.committedEnding
+	}
 	if len(connection.attempts) > 0 {
 		order.Expires = conductor.nextLeaseEnd(connection)
 	}
@@ -265,8 +270,10 @@
 	if newest == connection.committedEnding {
 		return
 	}
+	successor := connection.successor
 	conductor.afterCommit(func(err error) {
-		if err == nil {
+		// The endings of each incarnation have numbers of their own.
+		if err == nil && connection.successor == successor {
 			connection.committedEnding = max(connection.committedEnding, newest)
 		}
 	})
