cellrunner: members that are gone for good count as no voters

What callers see: after two core machines were replaced one after the other by new ones at other addresses, a cell of five needs four of six votes. Two further lost disks, as many as the deployment tolerates, leave it without a quorum: LOST, CONFIG and RECOVER, while all processes run.

A replica that is gone stays a member for as long as nobody has its address. Two such members make a cell of five seven, so the second successor got a sixth vote in addition to the lost one's, and since six is not above seven, none was taken away.

Change: the limit of voters comes from voters and learners that have caught up. A lost voter's vote goes to a caught-up learner whatever the limit is, and the number of voters is even only between the two changes. A lost voter keeps its vote while no learner has caught up, so that entries stay on as many disks as before. Where another voter is lost too, the successor at the address of a lost one gets its vote before the lost one is removed, so that the other one keeps its vote.

Evidence: TestReplacementsAtOtherAddressesLeaveNoLostVote replaces up to four of 3 to 7 replicas and failed before:

2 of 3 replaced: voters [0 2 successor0 successor1], unexpected length

TestASilentVoterKeepsItsVoteBesideALostDisk failed too: the silent voter, which may return, gave up its vote, and the voter whose disk is lost kept its own.

Result: the tests of the package's memberships pass.

--- a/internal/cellrunner/members_test.go
+++ b/internal/cellrunner/members_test.go
@@ -165,3 +165,64 @@
 	c.Check(cellrunner.NextMembers(makeMembers(3, 0), alive, gone), qt.IsNil)
 	c.Check(cellrunner.NextMembers(makeMembers(3, 1), alive, gone), qt.IsNil, qt.Commentf("the learner has not caught up"))
 }
+
+// TestReplacementsAtOtherAddressesLeaveNoLostVote replaces one replica after another by a
+// new one at another address. A cell of five that may lose two replicas would otherwise
+// lose its quorum with the next two.
+func TestReplacementsAtOtherAddressesLeaveNoLostVote(t *testing.T) {
+	c := qt.New(t)
+	for replicas := 3; replicas <= 7; replicas++ {
+		_, voters := settleMembership(c, makeMembers(1, replicas-1))
+		members := makeMembers(voters, replicas-voters)
+		gone := make(map[journaler.ReplicaID]bool)
+		silent := func(id journaler.ReplicaID) bool { return gone[id] }
+		caughtUp := func(id journaler.ReplicaID) bool { return !gone[id] && id != "0" }
+		for replacement := range 4 {
+			lost := slices.IndexFunc(members, func(member journaler.Member) bool { return member.Voter && caughtUp(member.ID) })
+			gone[members[lost].ID] = true
+			successor := fmt.Sprint("successor", replacement)
+			members = append(members, journaler.Member{ID: journaler.ReplicaID(successor), Address: successor})
+			changes := 0
+			for next := cellrunner.NextMembers(members, caughtUp, silent); next != nil; next = cellrunner.NextMembers(members, caughtUp, silent) {
+				members = next
+				changes++
+				c.Assert(changes <= 4, qt.IsTrue, qt.Commentf("%+v", members))
+			}
+			var got []journaler.ReplicaID
+			for _, member := range members {
+				if member.Voter {
+					got = append(got, member.ID)
+				}
+			}
+			c.Check(got, qt.HasLen, voters, qt.Commentf("%d of %d replaced: voters %v", replacement+1, replicas, got))
+			c.Check(slices.ContainsFunc(got, silent), qt.IsFalse, qt.Commentf("%d of %d replaced: voters %v", replacement+1, replicas, got))
+		}
+	}
+}
+
+// TestASilentVoterKeepsItsVoteBesideALostDisk has a silent voter, and one whose disk is
+// lost: the single learner that has caught up gets the vote of the latter.
+func TestASilentVoterKeepsItsVoteBesideALostDisk(t *testing.T) {
+	c := qt.New(t)
+	silent := func(id journaler.ReplicaID) bool { return id == "1" }
+	for _, successorCaughtUp := range []bool{false, true} {
+		caughtUp := func(id journaler.ReplicaID) bool {
+			return id == "2" || id == "4" || id == "new" && successorCaughtUp || id == "spare" && !successorCaughtUp
+		}
+		members := append(makeMembers(5, 0), journaler.Member{ID: "spare", Address: "spare"}, journaler.Member{ID: "new", Address: "a3"})
+		for next := members; next != nil; next = cellrunner.NextMembers(next, caughtUp, silent) {
+			members = next
+		}
+		var got []journaler.ReplicaID
+		for _, member := range members {
+			if member.Voter {
+				got = append(got, member.ID)
+			}
+		}
+		want := []journaler.ReplicaID{"0", "1", "2", "4", "spare"}
+		if successorCaughtUp {
+			want[4] = "new"
+		}
+		c.Check(got, qt.DeepEquals, want)
+	}
+}
--- a/internal/cellrunner/runner.go
+++ b/internal/cellrunner/runner.go
@@ -363,85 +363,108 @@
 }
 
 // NextMembers returns the membership after the next single change, or nil if
-// none is due. A replica is removed as soon as a new one at the same address
-// has caught up, and a caught-up learner is promoted while the number of voters
-// is below its maximum. An even number of voters tolerates no more losses than
-// one fewer and has no quorum if a partition splits it in halves, so one
-// replica of an even number stays a learner.
+// none is due. An even number of voters tolerates no more losses than one fewer
+// and has no quorum if a partition splits it in halves, so their number is odd
+// between changes: one replica of an even number stays a learner.
 //
 // The vote of a lost voter goes to a caught-up learner: as long as a voter that is gone for
 // good counts, the cell tolerates one loss less. A voter is lost if it is silent, since its
 // successor may be at another address, or if a new replica has taken its address, which
-// shows that its disk is gone. It stays a member, and a silent one catches up if it returns.
+// shows that its disk is gone. A silent one stays a member, and catches up if it returns.
 // The learner is promoted first: with one voter fewer, the cell would have no quorum if the
-// leader were lost between the two changes, even if the silent voter had returned.
+// leader were lost between the two changes, even if the silent voter had returned. A lost
+// voter without a caught-up learner keeps its vote, so that entries stay on as many disks.
 func NextMembers(members []journaler.Member, caughtUp, silent func(journaler.ReplicaID) bool) []journaler.Member {
-	lost := func(id journaler.ReplicaID) bool { return silent(id) || superseded(members, id) }
-	limit := maxVoters(countAddresses(members))
-	voters := 0
-	anyLost := false
+	voters, lost := 0, []journaler.ReplicaID(nil)
 	for _, member := range members {
-		if member.Voter {
-			voters++
-			anyLost = anyLost || lost(member.ID)
+		if !member.Voter {
+			continue
+		}
+		voters++
+		switch {
+		case superseded(members, member, caughtUp):
+			lost = slices.Insert(lost, 0, member.ID)
+		case silent(member.ID):
+			lost = append(lost, member.ID)
 		}
 	}
+	if len(lost) > 0 && voters%2 == 0 && voters > minVoters {
+		return withoutVote(members, lost, caughtUp)
+	}
+	limit := maxVoters(countMembers(members, func(member journaler.Member) bool { return member.Voter || caughtUp(member.ID) }))
 	for index, learner := range members {
 		if learner.Voter || !caughtUp(learner.ID) {
 			continue
 		}
-		replaced := slices.IndexFunc(members, func(member journaler.Member) bool {
-			return member.Address == learner.Address && member.ID != learner.ID
-		})
-		next := slices.Clone(members)
-		if replaced >= 0 {
-			return slices.Delete(next, replaced, replaced+1)
+		replaced := indexAtSameAddress(members, learner)
+		if replaced >= 0 && (!members[replaced].Voter || len(lost) == 1) {
+			return slices.Delete(slices.Clone(members), replaced, replaced+1)
 		}
-		if voters < limit || voters == limit && anyLost {
+		if len(lost) > 0 || voters < limit {
+			next := slices.Clone(members)
 			next[index].Voter = true
 			return next
 		}
 	}
-	if voters > max(limit, minVoters) {
-		return withoutSurplusVoter(members, caughtUp, lost)
+	// A learner that lags for a moment may get a vote soon; a silent one may not return.
+	limit = maxVoters(countMembers(members, func(member journaler.Member) bool { return member.Voter || !silent(member.ID) }))
+	if len(lost) == 0 && voters > max(limit, minVoters) {
+		return withoutSurplusVote(members, caughtUp)
 	}
 	return nil
 }
 
-// superseded reports whether a learner has the address of the voter with the given ID.
-func superseded(members []journaler.Member, id journaler.ReplicaID) bool {
-	voter := slices.IndexFunc(members, func(member journaler.Member) bool { return member.ID == id && member.Voter })
-	return voter >= 0 && slices.ContainsFunc(members, func(member journaler.Member) bool {
-		return !member.Voter && member.Address == members[voter].Address
+// superseded reports whether a new replica has taken the voter's address.
+func superseded(members []journaler.Member, voter journaler.Member, caughtUp func(journaler.ReplicaID) bool) bool {
+	successor := indexAtSameAddress(members, voter)
+	return successor >= 0 && (!members[successor].Voter || caughtUp(members[successor].ID))
+}
+
+// indexAtSameAddress returns the position of another member at the member's address, or -1.
+func indexAtSameAddress(members []journaler.Member, member journaler.Member) int {
+	return slices.IndexFunc(members, func(other journaler.Member) bool {
+		return other.Address == member.Address && other.ID != member.ID
 	})
 }
 
-// countAddresses returns the number of replicas that can run: two members with one
-// address are a replica that is lost and its successor.
-func countAddresses(members []journaler.Member) int {
-	addresses := make(map[string]struct{})
+func countMembers(members []journaler.Member, matches func(journaler.Member) bool) int {
+	count := 0
 	for _, member := range members {
-		addresses[member.Address] = struct{}{}
+		if matches(member) {
+			count++
+		}
 	}
-	return len(addresses)
+	return count
 }
 
 // minVoters is the number of voters below which none is demoted: entries would be
 // committed on a single disk.
 const minVoters = 2
 
-// withoutSurplusVoter demotes a voter: a lost one, or else one that has caught up, which
-// the leader itself never counts as. It returns nil if there is none.
-func withoutSurplusVoter(members []journaler.Member, caughtUp, lost func(journaler.ReplicaID) bool) []journaler.Member {
-	for _, surplus := range []func(journaler.ReplicaID) bool{lost, caughtUp} {
-		at := slices.IndexFunc(members, func(member journaler.Member) bool { return member.Voter && surplus(member.ID) })
-		if at >= 0 {
-			next := slices.Clone(members)
-			next[at].Voter = false
-			return next
+// withoutVote removes a lost voter whose successor at its address has caught up, or else
+// demotes the first of the lost ones: the disk of a superseded one is gone, while a silent
+// one may return.
+func withoutVote(members []journaler.Member, lost []journaler.ReplicaID, caughtUp func(journaler.ReplicaID) bool) []journaler.Member {
+	next := slices.Clone(members)
+	for index, member := range members {
+		if successor := indexAtSameAddress(members, member); successor >= 0 && slices.Contains(lost, member.ID) && caughtUp(members[successor].ID) {
+			return slices.Delete(next, index, index+1)
 		}
 	}
-	return nil
+	next[slices.IndexFunc(next, func(member journaler.Member) bool { return member.ID == lost[0] })].Voter = false
+	return next
+}
+
+// withoutSurplusVote demotes a voter that has caught up, which the leader itself never
+// counts as. It returns nil if there is none.
+func withoutSurplusVote(members []journaler.Member, caughtUp func(journaler.ReplicaID) bool) []journaler.Member {
+	at := slices.IndexFunc(members, func(member journaler.Member) bool { return member.Voter && caughtUp(member.ID) })
+	if at < 0 {
+		return nil
+	}
+	next := slices.Clone(members)
+	next[at].Voter = false
+	return next
 }
 
 // maxVoters returns the largest odd number that is not above members.
