replicator: late rejections no longer send the log again

Cause: a new replica rejects everything that the leader sends from the end of its log, which is all that the leader sends until the first rejection arrives. Each rejection restarted sending from the first entry that is missing, also those of messages from before the last restart. Each restart put one more copy of the whole log before what the replica lacked.

TestLateRejectionsSendNothingAgain failed before: "got int(303), want int(101)".

Change: a rejection of a message that was sent before sending last restarted is ignored: it says nothing of what was sent since. If that is lost too, a later heartbeat is rejected (TestALostAppendIsSentAgain).

Result: the tests of replicator pass.

--- a/replicator/core.go
+++ b/replicator/core.go
@@ -118,8 +118,10 @@
 	// match is the last index known to be replicated, next the next to send.
 	match uint64
 	next  uint64
-	// windowStart is the index from which sending last started or restarted.
+	// windowStart is the index from which sending last started or restarted, and
+	// windowStamp the time of the last restart.
 	windowStart uint64
+	windowStamp time.Duration
 	// ackedStamp is the newest of the leader's stamps that the peer has echoed.
 	ackedStamp time.Duration
 	outgoing   *outgoingSnapshot
--- a/replicator/protocol_test.go
+++ b/replicator/protocol_test.go
@@ -69,3 +69,65 @@
 	_, _, err = core.ProposeMembers([]journaler.Member{soleVoter, nonVoter})
 	c.Check(err, qt.IsNil)
 }
+
+// leadLearner returns the Core of a sole voter a that leads the learner b, with the given
+// number of entries, of which b has none.
+func leadLearner(c *qt.C, entries int) *replicator.Core {
+	core := newCore(c, journaler.Member{ID: "a", Voter: true}, journaler.Member{ID: "b"})
+	core.Tick(electionTimeout)
+	saveAll(core)
+	for range entries {
+		_, _, ok := core.Propose(journaler.EntryCommand, []byte("x"))
+		c.Assert(ok, qt.IsTrue)
+	}
+	saveAll(core)
+	return core
+}
+
+// saveAll returns the pending messages of the Core, whose state counts as saved.
+func saveAll(core *replicator.Core) []replicator.Message {
+	ready := core.TakeReady()
+	core.MarkSaved()
+	return append(ready.First, ready.Then...)
+}
+
+// TestLateRejectionsSendNothingAgain has a learner with an empty log reject messages that
+// were on their way when the leader began to send it the log. Each of them would put one
+// more copy of the log before what the learner lacks.
+func TestLateRejectionsSendNothingAgain(t *testing.T) {
+	c := qt.New(t)
+	core := leadLearner(c, 100)
+	var stamps []time.Duration
+	for round := range 3 {
+		core.Tick(electionTimeout + time.Duration(round+1)*heartbeatInterval)
+		for _, message := range saveAll(core) {
+			stamps = append(stamps, message.Stamp)
+		}
+	}
+	c.Assert(stamps, qt.HasLen, 3)
+	sent := 0
+	for at, stamp := range stamps {
+		core.ObserveTime(electionTimeout + 4*heartbeatInterval + time.Duration(at)*time.Millisecond)
+		core.Step(replicator.Message{Cell: cellName, Kind: replicator.KindAppendReply, From: "b", To: "a", Term: 1, Reject: true, Stamp: stamp})
+		for _, message := range saveAll(core) {
+			sent += len(message.Entries)
+		}
+	}
+	c.Check(sent, qt.Equals, 101)
+}
+
+// TestALostAppendIsSentAgain checks that a rejection of a later message restarts sending.
+func TestALostAppendIsSentAgain(t *testing.T) {
+	c := qt.New(t)
+	core := leadLearner(c, 100)
+	for round := range 2 {
+		core.Tick(electionTimeout + time.Duration(round+1)*heartbeatInterval)
+		heartbeat := saveAll(core)[0]
+		core.Step(replicator.Message{Cell: cellName, Kind: replicator.KindAppendReply, From: "b", To: "a", Term: 1, Reject: true, Stamp: heartbeat.Stamp})
+		sent := 0
+		for _, message := range saveAll(core) {
+			sent += len(message.Entries)
+		}
+		c.Check(sent, qt.Equals, 101, qt.Commentf("round %d", round))
+	}
+}
--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -148,8 +148,7 @@
 	}
 	peer.ackedStamp = max(peer.ackedStamp, message.Stamp)
 	if message.Reject {
-		peer.next = max(min(message.Index, core.log.last())+1, peer.match+1)
-		peer.windowStart = peer.next
+		core.restartSending(peer, message)
 		return
 	}
 	peer.match = max(peer.match, min(message.Index, core.log.last()))
@@ -161,6 +160,17 @@
 	core.sendTimeoutNow()
 }
 
+// restartSending continues after the index of a rejection. A rejection of a message sent
+// before sending last restarted says nothing of what was sent since.
+func (core *Core) restartSending(peer *peer, rejection Message) {
+	if rejection.Stamp < peer.windowStamp {
+		return
+	}
+	peer.next = max(min(rejection.Index, core.log.last())+1, peer.match+1)
+	peer.windowStart = peer.next
+	peer.windowStamp = core.now
+}
+
 // replicate sends each follower the entries it lacks, up to the in-flight limit.
 func (core *Core) replicate() {
 	if core.role != Leader {
