--- a/replicator/protocol_test.go
+++ b/replicator/protocol_test.go
@@ -131,3 +131,45 @@
 		c.Check(sent, qt.Equals, 101, qt.Commentf("round %d", round))
 	}
 }
+
+// TestAPieceOnItsWayIsNotSentAgain sends a snapshot over a link on which a piece takes
+// several heartbeats. A copy of it with each heartbeat would leave the link no room for the
+// next piece.
+func TestAPieceOnItsWayIsNotSentAgain(t *testing.T) {
+	c := qt.New(t)
+	core := leadLearner(c, 100)
+	snapshot := &journaler.Snapshot{Index: core.CommitIndex(), Term: 1, Chain: core.Chain(core.CommitIndex()), Members: core.Members(), Data: make([]byte, 4<<20)}
+	core.Compact(snapshot)
+	now := electionTimeout
+	heartbeat := func() []replicator.Message {
+		now += heartbeatInterval
+		core.Tick(now)
+		return saveAll(core)
+	}
+	core.Step(replicator.Message{Cell: cellName, Kind: replicator.KindAppendReply, From: "b", To: "a", Term: 1, Reject: true, Stamp: heartbeat()[0].Stamp})
+	pieces := append(saveAll(core), heartbeat()...)
+	c.Assert(pieces[0].Piece, qt.IsNotNil)
+	first := pieces[0]
+	for range 5 {
+		pieces = append(pieces, heartbeat()...)
+	}
+	sent := 0
+	for _, piece := range pieces {
+		sent += len(piece.Piece.Data)
+	}
+	c.Check(sent, qt.Equals, len(first.Piece.Data))
+
+	reply := replicator.Message{Cell: cellName, Kind: replicator.KindSnapshotPieceReply, From: "b", To: "a", Term: 1}
+	reply.Stamp = pieces[len(pieces)-1].Stamp
+	core.Step(reply)
+	again := saveAll(core)
+	c.Assert(again, qt.HasLen, 1)
+	c.Check(again[0].Piece.Offset, qt.Equals, int64(0), qt.Commentf("a later message arrived without the piece"))
+	c.Check(again[0].Piece.Data, qt.HasLen, len(first.Piece.Data))
+
+	reply.Index, reply.Stamp = uint64(len(first.Piece.Data)), again[0].Stamp
+	core.Step(reply)
+	next := saveAll(core)
+	c.Assert(next, qt.HasLen, 1)
+	c.Check(next[0].Piece.Offset, qt.Equals, int64(len(first.Piece.Data)))
+}
--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/crc32"
+	"time"
 
 	"github.com/dotterelrill/dotterelrill/journaler"
 )
@@ -189,8 +190,8 @@
 	return peer.next - max(peer.match+1, peer.windowStart)
 }
 
-// sendHeartbeats sends a heartbeat, or the current snapshot piece, to each
-// follower. A heartbeat carries the index of the last entry sent, so that a
+// sendHeartbeats sends a heartbeat to each follower, or a probe of the snapshot
+// transfer. A heartbeat carries the index of the last entry sent, so that a
 // follower that missed a message rejects it.
 func (core *Core) sendHeartbeats() {
 	for _, member := range core.Members() {
@@ -198,7 +199,7 @@
 		switch {
 		case peer == nil:
 		case peer.outgoing != nil:
-			core.sendPiece(member.ID, peer)
+			core.sendPieceProbe(member.ID, peer)
 		default:
 			core.sendHeartbeat(member.ID, peer)
 		}
@@ -249,6 +250,8 @@
 	checksum uint32
 	// offset is the number of bytes that the follower has acknowledged.
 	offset int64
+	// sentAt is when the piece at the offset was sent.
+	sentAt time.Duration
 }
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -261,17 +264,28 @@
 
 func (core *Core) sendPiece(id journaler.ReplicaID, peer *peer) {
 	outgoingSnapshot := peer.outgoing
-	total := int64(len(outgoingSnapshot.snapshot.Data))
-	end := min(outgoingSnapshot.offset+int64(core.config.PieceBytes), total)
+	end := min(outgoingSnapshot.offset+int64(core.config.PieceBytes), int64(len(outgoingSnapshot.snapshot.Data)))
+	outgoingSnapshot.sentAt = core.now
+	core.sendPieceData(id, peer, outgoingSnapshot.snapshot.Data[outgoingSnapshot.offset:end])
+}
+
+// sendPieceProbe sends a piece without data, whose reply says whether the piece before it
+// has arrived. Sending that one again would fill a slow link with copies of it.
+func (core *Core) sendPieceProbe(id journaler.ReplicaID, peer *peer) {
+	core.sendPieceData(id, peer, nil)
+}
+
+func (core *Core) sendPieceData(id journaler.ReplicaID, peer *peer, data []byte) {
+	outgoingSnapshot := peer.outgoing
 	core.send(Message{Kind: KindSnapshotPiece, To: id, Stamp: core.now, Piece: &Piece{
 		Index:    outgoingSnapshot.snapshot.Index,
 		Term:     outgoingSnapshot.snapshot.Term,
 		Chain:    outgoingSnapshot.snapshot.Chain,
 		Members:  outgoingSnapshot.snapshot.Members,
 		Offset:   outgoingSnapshot.offset,
-		Total:    total,
+		Total:    int64(len(outgoingSnapshot.snapshot.Data)),
 		Checksum: outgoingSnapshot.checksum,
-		Data:     outgoingSnapshot.snapshot.Data[outgoingSnapshot.offset:end],
+		Data:     data,
 	}})
 }
 
@@ -340,11 +354,14 @@
 		return
 	}
 	peer.ackedStamp = max(peer.ackedStamp, message.Stamp)
-	if peer.outgoing == nil || int64(message.Index) > int64(len(peer.outgoing.snapshot.Data)) {
+	outgoingSnapshot := peer.outgoing
+	received := int64(message.Index)
+	if outgoingSnapshot == nil || received > int64(len(outgoingSnapshot.snapshot.Data)) || message.Stamp < outgoingSnapshot.sentAt {
 		return
 	}
-	if peer.outgoing.offset != int64(message.Index) {
-		peer.outgoing.offset = int64(message.Index)
+	// The piece is lost if what was sent after it arrived without it.
+	if received != outgoingSnapshot.offset || message.Stamp > outgoingSnapshot.sentAt {
+		outgoingSnapshot.offset = received
 		core.sendPiece(message.From, peer)
 	}
 }
