--- a/replicator/apply.go
+++ b/replicator/apply.go
@@ -12,31 +12,42 @@
 // takes snapshots of its state.
 func (node *Node) runApply(ctx context.Context) error {
 	lastSnapshot := node.applied.Load()
+	var last applyRequest
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case request := <-node.applyRequests:
-			if request.install != nil {
-				if err := node.restore(request.install); err != nil {
+			if request.offer {
+				if err := node.offerSnapshot(&last); err != nil {
 					return err
 				}
-				lastSnapshot = request.install.Index
 				continue
 			}
-			node.applyEntries(request.entries)
-			last := &request.entries[len(request.entries)-1]
-			if last.Index < lastSnapshot+node.config.SnapshotEvery {
-				continue
-			}
-			if err := node.saveSnapshot(last, request.members); err != nil {
+			last = request
+			saved, err := node.applyRequest(&request, lastSnapshot)
+			if err != nil {
 				return err
 			}
-			lastSnapshot = last.Index
+			lastSnapshot = saved
 		}
 	}
 }
 
+// applyRequest restores a snapshot, or applies entries and saves a snapshot if one is due.
+// It returns the index of the newest snapshot.
+func (node *Node) applyRequest(request *applyRequest, lastSnapshot uint64) (uint64, error) {
+	if request.install != nil {
+		return request.install.Index, node.restore(request.install)
+	}
+	node.applyEntries(request.entries)
+	applied := node.applied.Load()
+	if applied < lastSnapshot+node.config.SnapshotEvery {
+		return lastSnapshot, nil
+	}
+	return applied, node.saveSnapshot(request)
+}
+
 func (node *Node) restore(snapshot *journaler.Snapshot) error {
 	if err := node.config.StateMachine.Restore(snapshot); err != nil {
 		return eris.Wrapf(err, "restore the snapshot at index %d", snapshot.Index)
@@ -83,18 +94,27 @@
 	proposal.reply <- proposalReply{index: entry.Index, result: result}
 }
 
-// saveSnapshot saves a snapshot of the state machine after the last applied entry.
-func (node *Node) saveSnapshot(last *journaler.Entry, records []memberRecord) error {
+// takeSnapshot returns a snapshot of the state machine after the last applied entries.
+func (node *Node) takeSnapshot(applied *applyRequest) (*journaler.Snapshot, error) {
 	data, err := node.config.StateMachine.Snapshot()
 	if err != nil {
-		return eris.Wrap(err, "take a snapshot")
+		return nil, eris.Wrap(err, "take a snapshot")
 	}
-	snapshot := &journaler.Snapshot{
+	last := &applied.entries[len(applied.entries)-1]
+	return &journaler.Snapshot{
 		Index:   last.Index,
 		Term:    last.Term,
 		Chain:   last.Chain,
-		Members: memberLog(records).at(last.Index),
+		Members: memberLog(applied.members).at(last.Index),
 		Data:    data,
+	}, nil
+}
+
+// saveSnapshot saves a snapshot of the state machine after the last applied entries.
+func (node *Node) saveSnapshot(applied *applyRequest) error {
+	snapshot, err := node.takeSnapshot(applied)
+	if err != nil {
+		return err
 	}
 	if err := node.config.Journal.SaveSnapshot(snapshot); err != nil {
 		return err
@@ -102,3 +122,16 @@
 	node.savedSnapshot.Store(snapshot)
 	return nil
 }
+
+// offerSnapshot passes a snapshot to the Core, unless nothing was applied since the start
+// or since a snapshot was restored.
+func (node *Node) offerSnapshot(applied *applyRequest) error {
+	if len(applied.entries) == 0 {
+		return nil
+	}
+	snapshot, err := node.takeSnapshot(applied)
+	if err == nil {
+		node.offeredSnapshot.Store(snapshot)
+	}
+	return err
+}
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -44,6 +44,9 @@
 	// KeepEntries is how many entries that a snapshot covers stay in memory, so
 	// that a follower that lags slightly is sent entries instead of the snapshot.
 	KeepEntries uint64
+	// CatchUpBytes is the size of the entries above which a follower that lacks
+	// them is sent a new snapshot instead, if that is smaller; zero means 2 MiB.
+	CatchUpBytes int
 }
 
 // Limits on the data in flight to one follower.
@@ -52,6 +55,8 @@
 	maxAppendBytes     = 1 << 20
 	maxInFlightEntries = 4096
 	defaultPieceBytes  = 256 << 10
+	// defaultCatchUpBytes is the default of CatchUpBytes.
+	defaultCatchUpBytes = 2 << 20
 	// leaseMarginDivisor sets the safety margin of a leader's lease: the lease is
 	// shorter than the election timeout by this fraction, since clocks may run
 	// at different speeds.
@@ -69,7 +74,10 @@
 	MustSave bool
 	// Install is a complete snapshot from the leader, to be saved and restored.
 	Install *journaler.Snapshot
-	Then    []Message
+	// WantSnapshot is true if a snapshot of the state should be passed to
+	// OfferSnapshot, for followers that lack much of the log.
+	WantSnapshot bool
+	Then         []Message
 	// Committed holds the entries to apply, in order.
 	Committed []journaler.Entry
 }
@@ -104,6 +112,11 @@
 	// timeoutNowSent is true once the transferee has been sent KindTimeoutNow.
 	timeoutNowSent bool
 	incoming       *incomingSnapshot
+	// offered is the newest snapshot passed to OfferSnapshot in this leadership. It
+	// needs no compaction of the log, and may be on no disk.
+	offered *journaler.Snapshot
+	// wantSnapshot is true until TakeReady has asked for a snapshot.
+	wantSnapshot bool
 
 	beforeSave        []Message
 	afterSave         []Message
@@ -125,6 +138,9 @@
 	// ackedStamp is the newest of the leader's stamps that the peer has echoed.
 	ackedStamp time.Duration
 	outgoing   *outgoingSnapshot
+	// holdUntil is the time until which entries are held back for a new snapshot, or
+	// zero.
+	holdUntil time.Duration
 }
 
 // NewCore returns a Core that resumes from the recovered state. It fails if a
@@ -133,6 +149,9 @@
 	if config.PieceBytes == 0 {
 		config.PieceBytes = defaultPieceBytes
 	}
+	if config.CatchUpBytes == 0 {
+		config.CatchUpBytes = defaultCatchUpBytes
+	}
 	log := newEntryLog(recovered)
 	members, err := newMemberLog(log, config.Initial)
 	if err != nil {
@@ -288,7 +307,10 @@
 		MustSave:  core.hardStateChanged || len(core.unsaved) > 0,
 		Install:   core.installedSnapshot,
 		Then:      core.afterSave,
+
+		WantSnapshot: core.wantSnapshot,
 	}
+	core.wantSnapshot = false
 	core.beforeSave, core.afterSave, core.unsaved, core.installedSnapshot = nil, nil, nil, nil
 	core.hardStateChanged = false
 	return ready
--- a/replicator/core_test.go
+++ b/replicator/core_test.go
@@ -231,13 +231,7 @@
 	if !replica.up() || replica.applied <= replica.disk.base() {
 		return
 	}
-	snapshot := &journaler.Snapshot{
-		Index:   replica.applied,
-		Term:    replica.core.EntryTerm(replica.applied),
-		Chain:   replica.chain,
-		Members: replica.core.MembersAt(replica.applied),
-		Data:    snapshotData(replica.applied, replica.chain),
-	}
+	snapshot := simulation.snapshotOf(replica)
 	if replica.journalFiles != nil {
 		if err := replica.journalFiles.journal.SaveSnapshot(snapshot); err != nil {
 			simulation.t.Fatalf("%s: %+v", replica.id, err)
@@ -248,6 +242,16 @@
 	replica.core.Compact(snapshot)
 }
 
+func (simulation *simulation) snapshotOf(replica *replica) *journaler.Snapshot {
+	return &journaler.Snapshot{
+		Index:   replica.applied,
+		Term:    replica.core.EntryTerm(replica.applied),
+		Chain:   replica.chain,
+		Members: replica.core.MembersAt(replica.applied),
+		Data:    snapshotData(replica.applied, replica.chain),
+	}
+}
+
 // changeMembers has the leader add, promote or remove a replica.
 func (simulation *simulation) changeMembers() {
 	leader := simulation.leader()
--- a/replicator/election.go
+++ b/replicator/election.go
@@ -59,6 +59,7 @@
 	core.role = Follower
 	core.leader = leader
 	core.peers = nil
+	core.offered = nil
 	core.votes = nil
 	core.transferee = ""
 	core.resetElectionTimer()
--- a/replicator/log.go
+++ b/replicator/log.go
@@ -93,6 +93,16 @@
 	return entries[:len(entries):len(entries)]
 }
 
+// size returns the number of bytes of data in the entries from the index on that are
+// held. It stops counting above limit.
+func (log *entryLog) size(from uint64, limit int) int {
+	size := 0
+	for index := max(from, log.base()+1); index <= log.last() && size <= limit; index++ {
+		size += len(log.at(index).Data)
+	}
+	return size
+}
+
 // appendOwn appends a new entry of the leader.
 func (log *entryLog) appendOwn(term uint64, kind journaler.EntryKind, data []byte) *journaler.Entry {
 	entry := journaler.Entry{Index: log.last() + 1, Term: term, Kind: kind, Data: data}
--- a/replicator/node.go
+++ b/replicator/node.go
@@ -81,16 +81,20 @@
 	applied       atomic.Uint64
 	// savedSnapshot is a saved snapshot that the Core's log isn't compacted to yet.
 	savedSnapshot atomic.Pointer[journaler.Snapshot]
+	// offeredSnapshot is a snapshot that the Core asked for and has not got yet.
+	offeredSnapshot atomic.Pointer[journaler.Snapshot]
 
 	mutex sync.Mutex
 	// pending holds the appended proposals without an outcome, by index.
 	pending map[uint64]*proposal
 }
 
-// applyRequest holds either entries to apply or a snapshot to restore.
+// applyRequest holds either entries to apply or a snapshot to restore, or asks for a
+// snapshot of the state.
 type applyRequest struct {
 	entries []journaler.Entry
 	install *journaler.Snapshot
+	offer   bool
 	// members are the memberships in force at the indexes of entries.
 	members []memberRecord
 }
@@ -235,6 +239,9 @@
 		if snapshot := node.savedSnapshot.Swap(nil); snapshot != nil {
 			node.core.Compact(snapshot)
 		}
+		if snapshot := node.offeredSnapshot.Swap(nil); snapshot != nil {
+			node.core.OfferSnapshot(snapshot)
+		}
 		node.core.Tick(node.config.Clock())
 		if err := node.processReady(ctx); err != nil {
 			return err
@@ -287,6 +294,9 @@
 		if len(committed) > 0 && !node.queueApply(ctx, applyRequest{entries: committed, members: node.memberRecords()}) {
 			return nil
 		}
+		if ready.WantSnapshot && !node.queueApply(ctx, applyRequest{offer: true}) {
+			return nil
+		}
 		if len(committed) == 0 && len(ready.First) == 0 && len(ready.Then) == 0 {
 			return nil
 		}
--- a/replicator/node_test.go
+++ b/replicator/node_test.go
@@ -244,3 +244,33 @@
 	harness.c.Check(harness.node.Silent("c"), qt.IsTrue)
 	harness.c.Check(harness.node.Silent("a"), qt.IsFalse)
 }
+
+// TestANodeSendsANewReplicaItsStateInPlaceOfALongLog checks that a node takes a snapshot
+// for a replica that lacks more of the log than the state is large.
+func TestANodeSendsANewReplicaItsStateInPlaceOfALongLog(t *testing.T) {
+	harness := newHarness(t, "a")
+	harness.run(t)
+	harness.becomeLeader(1)
+	for range 40 {
+		_, _, err := harness.node.Propose(context.Background(), make([]byte, 64<<10))
+		harness.c.Assert(err, qt.IsNil)
+	}
+	harness.c.Assert(harness.node.ChangeMembers(context.Background(), []journaler.Member{{ID: "a", Voter: true}, {ID: "b"}}), qt.IsNil)
+	harness.now.Add(int64(heartbeatInterval))
+	rejected := false
+	harness.waitFor("the snapshot", func() bool {
+		harness.mutex.Lock()
+		defer harness.mutex.Unlock()
+		for _, message := range harness.sent {
+			if message.Kind == replicator.KindAppend && !rejected {
+				rejected = true
+				harness.node.Step(replicator.Message{Cell: cellName, Kind: replicator.KindAppendReply, From: "b", To: "a", Term: 1, Reject: true, Stamp: message.Stamp})
+			}
+			harness.c.Assert(len(message.Entries) <= 1, qt.IsTrue)
+			if message.Piece != nil {
+				return message.Piece.Index == 42
+			}
+		}
+		return false
+	})
+}
--- a/replicator/protocol_test.go
+++ b/replicator/protocol_test.go
@@ -70,14 +70,14 @@
 	c.Check(err, qt.IsNil)
 }
 
-// leadLearner returns the Core of a sole voter a that leads the learner b, with the given
-// number of entries, of which b has none.
-func leadLearner(c *qt.C, entries int) *replicator.Core {
+// leadLearner returns the Core of a sole voter a that leads the learner b, with 100
+// entries of the data, of which b has none.
+func leadLearner(c *qt.C, data []byte) *replicator.Core {
 	core := newCore(c, journaler.Member{ID: "a", Voter: true}, journaler.Member{ID: "b"})
 	core.Tick(electionTimeout)
 	saveAll(core)
-	for range entries {
-		_, _, ok := core.Propose(journaler.EntryCommand, []byte("x"))
+	for range 100 {
+		_, _, ok := core.Propose(journaler.EntryCommand, data)
 		c.Assert(ok, qt.IsTrue)
 	}
 	saveAll(core)
@@ -96,7 +96,7 @@
 // more copy of the log before what the learner lacks.
 func TestLateRejectionsSendNothingAgain(t *testing.T) {
 	c := qt.New(t)
-	core := leadLearner(c, 100)
+	core := leadLearner(c, []byte("x"))
 	var stamps []time.Duration
 	for round := range 3 {
 		core.Tick(electionTimeout + time.Duration(round+1)*heartbeatInterval)
@@ -119,7 +119,7 @@
 // TestALostAppendIsSentAgain checks that a rejection of a later message restarts sending.
 func TestALostAppendIsSentAgain(t *testing.T) {
 	c := qt.New(t)
-	core := leadLearner(c, 100)
+	core := leadLearner(c, []byte("x"))
 	for round := range 2 {
 		core.Tick(electionTimeout + time.Duration(round+1)*heartbeatInterval)
 		heartbeat := saveAll(core)[0]
@@ -137,9 +137,8 @@
 // next piece.
 func TestAPieceOnItsWayIsNotSentAgain(t *testing.T) {
 	c := qt.New(t)
-	core := leadLearner(c, 100)
-	snapshot := &journaler.Snapshot{Index: core.CommitIndex(), Term: 1, Chain: core.Chain(core.CommitIndex()), Members: core.Members(), Data: make([]byte, 4<<20)}
-	core.Compact(snapshot)
+	core := leadLearner(c, []byte("x"))
+	core.Compact(snapshotOf(core, 4<<20))
 	now := electionTimeout
 	heartbeat := func() []replicator.Message {
 		now += heartbeatInterval
@@ -173,3 +172,73 @@
 	c.Assert(next, qt.HasLen, 1)
 	c.Check(next[0].Piece.Offset, qt.Equals, int64(len(first.Piece.Data)))
 }
+
+// snapshotOf returns a snapshot of the Core's committed entries, with a state of the size.
+func snapshotOf(core *replicator.Core, size int) *journaler.Snapshot {
+	index := core.CommitIndex()
+	return &journaler.Snapshot{Index: index, Term: core.EntryTerm(index), Chain: core.Chain(index), Members: core.MembersAt(index), Data: make([]byte, size)}
+}
+
+// sentTo returns how many entries, and how many bytes of snapshots, are in the messages.
+func sentTo(messages []replicator.Message) (entries, bytes int) {
+	for _, message := range messages {
+		entries += len(message.Entries)
+		if message.Piece != nil {
+			bytes += len(message.Piece.Data)
+		}
+	}
+	return entries, bytes
+}
+
+// TestALongLogIsNotSentInPlaceOfItsState adds a replica with an empty log to a leader that
+// has never saved a snapshot. Its state is much smaller than the log that led there.
+func TestALongLogIsNotSentInPlaceOfItsState(t *testing.T) {
+	c := qt.New(t)
+	for _, compacted := range []bool{false, true} {
+		core := leadLearner(c, make([]byte, 64<<10))
+		if compacted {
+			core.Compact(&journaler.Snapshot{Index: 10, Term: 1, Chain: core.Chain(10), Members: core.Members(), Data: make([]byte, 1<<20)})
+		}
+		now := electionTimeout + heartbeatInterval
+		core.Tick(now)
+		core.Step(replicator.Message{Cell: cellName, Kind: replicator.KindAppendReply, From: "b", To: "a", Term: 1, Reject: true, Stamp: saveAll(core)[0].Stamp})
+		ready := core.TakeReady()
+		core.MarkSaved()
+		c.Assert(ready.WantSnapshot, qt.IsTrue)
+		now += heartbeatInterval
+		core.Tick(now)
+		entries, bytes := sentTo(append(ready.First, saveAll(core)...))
+		c.Check(entries, qt.Equals, 0)
+		c.Check(bytes, qt.Equals, 0)
+
+		core.OfferSnapshot(snapshotOf(core, 100<<10))
+		index := core.CommitIndex()
+		_, _, ok := core.Propose(journaler.EntryCommand, []byte("x"))
+		c.Assert(ok, qt.IsTrue)
+		entries, bytes = sentTo(saveAll(core))
+		c.Check(entries, qt.Equals, 0)
+		c.Check(bytes, qt.Equals, 100<<10)
+		core.Step(replicator.Message{Cell: cellName, Kind: replicator.KindAppendReply, From: "b", To: "a", Term: 1, Index: index, Stamp: now})
+		entries, _ = sentTo(saveAll(core))
+		c.Check(entries, qt.Equals, 1)
+	}
+}
+
+// TestALogIsSentIfItsStateIsLargerOrNeverComes checks that entries aren't held back for good.
+func TestALogIsSentIfItsStateIsLargerOrNeverComes(t *testing.T) {
+	c := qt.New(t)
+	for _, offered := range []bool{false, true} {
+		core := leadLearner(c, make([]byte, 64<<10))
+		core.Tick(electionTimeout + heartbeatInterval)
+		core.Step(replicator.Message{Cell: cellName, Kind: replicator.KindAppendReply, From: "b", To: "a", Term: 1, Reject: true, Stamp: saveAll(core)[0].Stamp})
+		saveAll(core)
+		if offered {
+			core.OfferSnapshot(snapshotOf(core, 8<<20))
+		} else {
+			core.Tick(electionTimeout + heartbeatInterval + time.Second)
+		}
+		entries, bytes := sentTo(saveAll(core))
+		c.Check(entries, qt.Equals, 101)
+		c.Check(bytes, qt.Equals, 0)
+	}
+}
--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -156,6 +156,7 @@
 	peer.next = max(peer.next, peer.match+1)
 	if peer.outgoing != nil && peer.match >= peer.outgoing.snapshot.Index {
 		peer.outgoing = nil
+		peer.windowStart = peer.next
 	}
 	core.advanceCommit()
 	core.sendTimeoutNow()
@@ -179,6 +180,9 @@
 	}
 	for _, member := range core.Members() {
 		peer := core.peers[member.ID]
+		if peer != nil && peer.outgoing == nil && core.prefersSnapshot(member.ID, peer) {
+			continue
+		}
 		for peer != nil && peer.outgoing == nil && peer.next <= core.log.last() && peer.inFlight() <= maxInFlightEntries {
 			core.sendAppend(member.ID, peer)
 		}
@@ -209,6 +213,10 @@
 func (core *Core) sendHeartbeat(id journaler.ReplicaID, peer *peer) {
 	previous := peer.next - 1
 	term, known := core.log.term(previous)
+	if !known && core.now < peer.holdUntil {
+		// Every log agrees at index 0.
+		previous, known = 0, true
+	}
 	if !known {
 		core.beginSnapshot(id, peer)
 		return
@@ -256,8 +264,51 @@
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
+// snapshotPatience is how long entries are held back for a new snapshot.
+const snapshotPatience = time.Second
+
+// prefersSnapshot reports whether a follower to which sending begins is sent no entries,
+// since it lacks many: it is sent a recent snapshot if that is smaller, and otherwise waits
+// for one.
+func (core *Core) prefersSnapshot(id journaler.ReplicaID, peer *peer) bool {
+	limit := core.config.CatchUpBytes
+	if peer.next != peer.windowStart || core.log.size(peer.next, limit) <= limit {
+		return false
+	}
+	snapshot := core.newestSnapshot()
+	if snapshot.Index >= peer.next && core.log.size(snapshot.Index+1, limit) <= limit {
+		peer.holdUntil = 0
+		smaller := core.log.size(peer.next, len(snapshot.Data)) > len(snapshot.Data)
+		if smaller {
+			core.beginSnapshot(id, peer)
+		}
+		return smaller
+	}
+	if peer.holdUntil == 0 {
+		peer.holdUntil = core.now + snapshotPatience
+		core.wantSnapshot = true
+	}
+	return core.now < peer.holdUntil
+}
+
+// newestSnapshot returns the newest of the snapshots that cover a part of the log.
+func (core *Core) newestSnapshot() *journaler.Snapshot {
+	if core.offered != nil && core.offered.Index > core.log.snapshot.Index {
+		return core.offered
+	}
+	return core.log.snapshot
+}
+
+// OfferSnapshot passes a snapshot of committed entries to the Core, which sends it to
+// followers that lack much of the log.
+func (core *Core) OfferSnapshot(snapshot *journaler.Snapshot) {
+	if core.role == Leader && snapshot.Index <= core.hardState.Commit {
+		core.offered = snapshot
+	}
+}
+
 func (core *Core) beginSnapshot(id journaler.ReplicaID, peer *peer) {
-	snapshot := core.log.snapshot
+	snapshot := core.newestSnapshot()
 	peer.outgoing = &outgoingSnapshot{snapshot: snapshot, checksum: crc32.Checksum(snapshot.Data, castagnoli)}
 	core.sendPiece(id, peer)
 }
--- a/replicator/simulation_test.go
+++ b/replicator/simulation_test.go
@@ -174,9 +174,10 @@
 		Jitter: func(limit time.Duration) time.Duration {
 			return time.Duration(simulation.random.Int64N(int64(limit)))
 		},
-		Now:         replica.clock(simulation.now),
-		PieceBytes:  16,
-		KeepEntries: 4,
+		Now:          replica.clock(simulation.now),
+		PieceBytes:   16,
+		KeepEntries:  4,
+		CatchUpBytes: 96,
 	}, recovered)
 	if err != nil {
 		simulation.t.Fatalf("%s cannot start: %v", replica.id, err)
@@ -248,6 +249,9 @@
 			simulation.restore(replica, ready.Install)
 		}
 		simulation.apply(replica, committed)
+		if ready.WantSnapshot && replica.applied > 0 {
+			replica.core.OfferSnapshot(simulation.snapshotOf(replica))
+		}
 		if len(committed) == 0 && len(ready.First) == 0 && len(ready.Then) == 0 {
 			return
 		}
