cellrunner: NextMembers in two functions

Cause: the linter's limit of complexity. Result: the linter reports nothing; the tests of memberships pass.

--- a/internal/cellrunner/runner.go
+++ b/internal/cellrunner/runner.go
@@ -375,19 +375,8 @@
 // leader were lost between the two changes, even if the silent voter had returned. A lost
 // voter without a caught-up learner keeps its vote, so that entries stay on as many disks.
 func NextMembers(members []journaler.Member, caughtUp, silent func(journaler.ReplicaID) bool) []journaler.Member {
-	voters, lost := 0, []journaler.ReplicaID(nil)
-	for _, member := range members {
-		if !member.Voter {
-			continue
-		}
-		voters++
-		switch {
-		case superseded(members, member, caughtUp):
-			lost = slices.Insert(lost, 0, member.ID)
-		case silent(member.ID):
-			lost = append(lost, member.ID)
-		}
-	}
+	voters := countMembers(members, func(member journaler.Member) bool { return member.Voter })
+	lost := lostVoters(members, caughtUp, silent)
 	if len(lost) > 0 && voters%2 == 0 && voters > minVoters {
 		return withoutVote(members, lost, caughtUp)
 	}
@@ -414,6 +403,21 @@
 	return nil
 }
 
+// lostVoters returns the voters that are lost, first those whose disk is gone.
+func lostVoters(members []journaler.Member, caughtUp, silent func(journaler.ReplicaID) bool) []journaler.ReplicaID {
+	var emptied, quiet []journaler.ReplicaID
+	for _, member := range members {
+		switch {
+		case !member.Voter:
+		case superseded(members, member, caughtUp):
+			emptied = append(emptied, member.ID)
+		case silent(member.ID):
+			quiet = append(quiet, member.ID)
+		}
+	}
+	return append(emptied, quiet...)
+}
+
 // superseded reports whether a new replica has taken the voter's address.
 func superseded(members []journaler.Member, voter journaler.Member, caughtUp func(journaler.ReplicaID) bool) bool {
 	successor := indexAtSameAddress(members, voter)
@@ -442,8 +446,7 @@
 const minVoters = 2
 
 // withoutVote removes a lost voter whose successor at its address has caught up, or else
-// demotes the first of the lost ones: the disk of a superseded one is gone, while a silent
-// one may return.
+// demotes the first of the lost ones.
 func withoutVote(members []journaler.Member, lost []journaler.ReplicaID, caughtUp func(journaler.ReplicaID) bool) []journaler.Member {
 	next := slices.Clone(members)
 	for index, member := range members {
