cellrunner: seeds that are down delay no join

A new replica that is not a voter in time makes the cell tolerate one lost disk less.

Cause: a replica with an empty disk asked its seeds one after the other, twice: which cell there is, and to be added. A process that is gone takes a second each time, so two seeds that are down, which a deployment may have to tolerate, took four of the four to six seconds in which the replica has to have caught up.

Change: all addresses are asked at once, and those that an answer names as soon as it arrives; the first that helps ends it.

Evidence: TestANewReplicaJoinsBesideSeedsThatAreDown failed before: "the new replica was not added within 6 s".

Result: the tests of joining and of full disks pass.

--- a/internal/cellrunner/identity.go
+++ b/internal/cellrunner/identity.go
@@ -131,7 +131,7 @@
 	return err
 }
 
-// formOrJoin sends Identify to each Bootstrap address once and returns the
+// formOrJoin sends Identify to all Bootstrap addresses once and returns the
 // identity of a member, or nil if the replica can neither form nor join a cell
 // yet. A cell is formed only if every address has answered and none belongs to
 // a cell already, so that no second cell can form beside an existing one. Only
@@ -141,27 +141,26 @@
 	own := formation.identity.Load()
 	members := []journaler.Member{{ID: own.ID, Address: settings.Address, Voter: true}}
 	complete := true
-	var known []string
-	for _, address := range settings.Bootstrap {
-		if address == settings.Address {
-			continue
-		}
-		reply := formation.askIdentity(ctx, address, own.ID)
+	var joined *identity
+	ask := func(ctx context.Context, address string) *messenger.IdentifyReply {
+		return formation.askIdentity(ctx, address, own.ID)
+	}
+	askAll(ctx, settings.Address, settings.Bootstrap, ask, func(address string, reply *messenger.IdentifyReply) ([]string, bool) {
+		configured := slices.Contains(settings.Bootstrap, address)
 		switch {
-		case reply == nil:
+		case reply != nil && reply.Formed:
+			joined = formation.joinFormed(own, reply.Members)
+		case reply != nil && reply.Relay:
+			return reply.Known, false
+		case reply == nil && configured:
 			complete = false
-		case reply.Formed:
-			return formation.joinFormed(own, reply.Members)
-		case reply.Relay:
-			known = append(known, reply.Known...)
-		default:
+		case configured:
 			members = append(members, journaler.Member{ID: reply.ID, Address: address, Voter: true})
 		}
-	}
-	for _, address := range known {
-		if reply := formation.askIdentity(ctx, address, own.ID); address != settings.Address && reply != nil && reply.Formed {
-			return formation.joinFormed(own, reply.Members)
-		}
+		return nil, joined != nil
+	})
+	if joined != nil {
+		return joined
 	}
 	if !complete || !settings.Form || !slices.Contains(settings.Bootstrap, settings.Address) {
 		return nil
@@ -171,6 +170,49 @@
 	return &identity{Cell: own.Cell, ID: own.ID, Formed: true, Initial: members}
 }
 
+// askAll asks the processes at the addresses, all at once so that one that is gone delays
+// no other, and those that handle returns. It ends when all have answered or handle
+// returns true. It asks each address once, and never own.
+func askAll[Answer any](ctx context.Context, own string, addresses []string, ask func(context.Context, string) Answer, handle func(string, Answer) ([]string, bool)) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type answered struct {
+		address string
+		answer  Answer
+	}
+	answers := make(chan answered)
+	asked := map[string]bool{own: true, "": true}
+	for pending := 0; ; pending-- {
+		for _, address := range addresses {
+			if asked[address] {
+				continue
+			}
+			asked[address] = true
+			pending++
+			go func() {
+				answer := answered{address: address, answer: ask(ctx, address)}
+				select {
+				case answers <- answer:
+				case <-ctx.Done():
+				}
+			}()
+		}
+		if pending == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case next := <-answers:
+			others, done := handle(next.address, next.answer)
+			if done {
+				return
+			}
+			addresses = others
+		}
+	}
+}
+
 func compareMembers(left, right journaler.Member) int {
 	if left.ID < right.ID {
 		return -1
@@ -281,44 +323,38 @@
 // askToJoin asks the processes at the Bootstrap addresses to add this replica, and those
 // that they name: none of them has to lead, and all may be relays.
 func (formation *formation) askToJoin(ctx context.Context) {
-	runner := formation.runner
-	own := journaler.Member{ID: formation.identity.Load().ID, Address: runner.settings.Address}
-	asked := map[string]bool{own.Address: true}
-	remaining := slices.Clone(runner.settings.Bootstrap)
-	for len(remaining) > 0 {
-		address := remaining[0]
-		remaining = remaining[1:]
-		if address == "" || asked[address] {
-			continue
-		}
-		asked[address] = true
-		joined, others := formation.joinAt(ctx, address, own)
-		if joined {
-			return
-		}
-		remaining = append(others, remaining...)
-	}
+	own := journaler.Member{ID: formation.identity.Load().ID, Address: formation.runner.settings.Address}
+	ask := func(ctx context.Context, address string) joinAnswer { return formation.joinAt(ctx, address, own) }
+	askAll(ctx, own.Address, formation.runner.settings.Bootstrap, ask, func(_ string, answer joinAnswer) ([]string, bool) {
+		return answer.others, answer.joined
+	})
+}
+
+// joinAnswer tells whether the process that was asked added the replica, and otherwise the
+// addresses of replicas that it named.
+type joinAnswer struct {
+	joined bool
+	others []string
 }
 
-// joinAt asks the process at the address to add this replica. It reports whether it did,
-// and otherwise the addresses of replicas that the process names.
-func (formation *formation) joinAt(ctx context.Context, address string, own journaler.Member) (bool, []string) {
+// joinAt asks the process at the address to add this replica.
+func (formation *formation) joinAt(ctx context.Context, address string, own journaler.Member) joinAnswer {
 	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
 	defer cancel()
 	connection, err := messenger.Dial(address, formation.runner.transport)
 	if err != nil {
-		return false, nil
+		return joinAnswer{}
 	}
 	defer func() { _ = connection.Close() }()
 	reply, err := messenger.ReplicaClient{Connection: connection}.Join(ctx, &messenger.JoinRequest{Cell: formation.runner.cellName(), Member: own})
 	if status.Code(err) == codes.Unimplemented {
-		return false, formation.askRelay(ctx, connection, own)
+		return joinAnswer{others: formation.askRelay(ctx, connection, own)}
 	}
 	if err != nil {
-		return false, nil
+		return joinAnswer{}
 	}
 	if reply.Refusal != nil {
-		return false, []string{reply.Refusal.Leader}
+		return joinAnswer{others: []string{reply.Refusal.Leader}}
 	}
 	// Without a membership this replica could not send replies to the leader. It
 	// gets its own one from a log entry or from the last chunk of a snapshot, both
@@ -326,7 +362,7 @@
 	if len(formation.runner.node.Load().Status().Members) == 0 {
 		formation.runner.sender.Load().SetMembers(own.ID, reply.Members)
 	}
-	return true, nil
+	return joinAnswer{joined: true}
 }
 
 // askRelay returns the addresses of the replicas that a relay knows.
--- a/internal/cellrunner/join_test.go
+++ b/internal/cellrunner/join_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -83,3 +84,21 @@
 	defer joining.stop()
 	awaitMember(c, leader, joining.address)
 }
+
+// TestANewReplicaJoinsBesideSeedsThatAreDown starts a replica with an empty folder, most of
+// whose Bootstrap addresses accept connections and answer nothing.
+func TestANewReplicaJoinsBesideSeedsThatAreDown(t *testing.T) {
+	c := qt.New(t)
+	leader := startReplica(c, t.TempDir(), 0, "")
+	defer leader.stop()
+	var seeds []string
+	for range 7 {
+		listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		defer func() { _ = listener.Close() }()
+		seeds = append(seeds, listener.Addr().String())
+	}
+	joining := startReplica(c, t.TempDir(), 0, strings.Join(append(seeds, leader.address), ","))
+	defer joining.stop()
+	awaitMember(c, leader, joining.address)
+}
