--- a/replicator/protocol_test.go
+++ b/replicator/protocol_test.go
@@ -69,3 +69,176 @@
 	_, _, err = core.ProposeMembers([]journaler.Member{soleVoter, nonVoter})
 	c.Check(err, qt.IsNil)
 }
+
+// leadLearner returns the Core of a sole voter a that leads the learner b, with 100
+// entries of the data, of which b has none.
+func leadLearner(c *qt.C, data []byte) *replicator.Core {
+	core := newCore(c, journaler.Member{ID: "a", Voter: true}, journaler.Member{ID: "b"})
+	core.Tick(electionTimeout)
+	saveAll(core)
+	for range 100 {
+		_, _, ok := core.Propose(journaler.EntryCommand, data)
+		c.Assert(ok, qt.IsTrue)
+	}
+	saveAll(core)
+	return core
+}
+
+// saveAll returns the pending messages of the Core, whose state counts as saved.
+func saveAll(core *replicator.Core) []replicator.Message {
+	ready := core.TakeReady()
+	core.MarkSaved()
+	return append(ready.First, ready.Then...)
+}
+
+// TestLateRejectionsSendNothingAgain has a learner with an empty log reject messages that
+// were on their way when the leader began to send it the log. Each of them would put one
+// more copy of the log before what the learner lacks.
+func TestLateRejectionsSendNothingAgain(t *testing.T) {
+	c := qt.New(t)
+	core := leadLearner(c, []byte("x"))
+	var stamps []time.Duration
+	for round := range 3 {
+		core.Tick(electionTimeout + time.Duration(round+1)*heartbeatInterval)
+		for _, message := range saveAll(core) {
+			stamps = append(stamps, message.Stamp)
+		}
+	}
+	c.Assert(stamps, qt.HasLen, 3)
+	sent := 0
+	for at, stamp := range stamps {
+		core.ObserveTime(electionTimeout + 4*heartbeatInterval + time.Duration(at)*time.Millisecond)
+		core.Step(replicator.Message{Cell: cellName, Kind: replicator.KindAppendReply, From: "b", To: "a", Term: 1, Reject: true, Stamp: stamp})
+		for _, message := range saveAll(core) {
+			sent += len(message.Entries)
+		}
+	}
+	c.Check(sent, qt.Equals, 101)
+}
+
+// TestALostAppendIsSentAgain checks that a rejection of a later message restarts sending.
+func TestALostAppendIsSentAgain(t *testing.T) {
+	c := qt.New(t)
+	core := leadLearner(c, []byte("x"))
+	for round := range 2 {
+		core.Tick(electionTimeout + time.Duration(round+1)*heartbeatInterval)
+		heartbeat := saveAll(core)[0]
+		core.Step(replicator.Message{Cell: cellName, Kind: replicator.KindAppendReply, From: "b", To: "a", Term: 1, Reject: true, Stamp: heartbeat.Stamp})
+		sent := 0
+		for _, message := range saveAll(core) {
+			sent += len(message.Entries)
+		}
+		c.Check(sent, qt.Equals, 101, qt.Commentf("round %d", round))
+	}
+}
+
+// TestAPieceOnItsWayIsNotSentAgain sends a snapshot over a link on which a piece takes
+// several heartbeats. A copy of it with each heartbeat would leave the link no room for the
+// next piece.
+func TestAPieceOnItsWayIsNotSentAgain(t *testing.T) {
+	c := qt.New(t)
+	core := leadLearner(c, []byte("x"))
+	core.Compact(snapshotOf(core, 4<<20))
+	now := electionTimeout
+	heartbeat := func() []replicator.Message {
+		now += heartbeatInterval
+		core.Tick(now)
+		return saveAll(core)
+	}
+	core.Step(replicator.Message{Cell: cellName, Kind: replicator.KindAppendReply, From: "b", To: "a", Term: 1, Reject: true, Stamp: heartbeat()[0].Stamp})
+	pieces := append(saveAll(core), heartbeat()...)
+	c.Assert(pieces[0].Piece, qt.IsNotNil)
+	first := pieces[0]
+	for range 5 {
+		pieces = append(pieces, heartbeat()...)
+	}
+	sent := 0
+	for _, piece := range pieces {
+		sent += len(piece.Piece.Data)
+	}
+	c.Check(sent, qt.Equals, len(first.Piece.Data))
+
+	reply := replicator.Message{Cell: cellName, Kind: replicator.KindSnapshotPieceReply, From: "b", To: "a", Term: 1}
+	reply.Stamp = pieces[len(pieces)-1].Stamp
+	core.Step(reply)
+	again := saveAll(core)
+	c.Assert(again, qt.HasLen, 1)
+	c.Check(again[0].Piece.Offset, qt.Equals, int64(0), qt.Commentf("a later message arrived without the piece"))
+	c.Check(again[0].Piece.Data, qt.HasLen, len(first.Piece.Data))
+
+	reply.Index, reply.Stamp = uint64(len(first.Piece.Data)), again[0].Stamp
+	core.Step(reply)
+	next := saveAll(core)
+	c.Assert(next, qt.HasLen, 1)
+	c.Check(next[0].Piece.Offset, qt.Equals, int64(len(first.Piece.Data)))
+}
+
+// snapshotOf returns a snapshot of the Core's committed entries, with a state of the size.
+func snapshotOf(core *replicator.Core, size int) *journaler.Snapshot {
+	index := core.CommitIndex()
+	return &journaler.Snapshot{Index: index, Term: core.EntryTerm(index), Chain: core.Chain(index), Members: core.MembersAt(index), Data: make([]byte, size)}
+}
+
+// sentTo returns how many entries, and how many bytes of snapshots, are in the messages.
+func sentTo(messages []replicator.Message) (entries, bytes int) {
+	for _, message := range messages {
+		entries += len(message.Entries)
+		if message.Piece != nil {
+			bytes += len(message.Piece.Data)
+		}
+	}
+	return entries, bytes
+}
+
+// TestALongLogIsNotSentInPlaceOfItsState adds a replica with an empty log to a leader that
+// has never saved a snapshot. Its state is much smaller than the log that led there.
+func TestALongLogIsNotSentInPlaceOfItsState(t *testing.T) {
+	c := qt.New(t)
+	for _, compacted := range []bool{false, true} {
+		core := leadLearner(c, make([]byte, 64<<10))
+		if compacted {
+			core.Compact(&journaler.Snapshot{Index: 10, Term: 1, Chain: core.Chain(10), Members: core.Members(), Data: make([]byte, 1<<20)})
+		}
+		now := electionTimeout + heartbeatInterval
+		core.Tick(now)
+		core.Step(replicator.Message{Cell: cellName, Kind: replicator.KindAppendReply, From: "b", To: "a", Term: 1, Reject: true, Stamp: saveAll(core)[0].Stamp})
+		ready := core.TakeReady()
+		core.MarkSaved()
+		c.Assert(ready.WantSnapshot, qt.IsTrue)
+		now += heartbeatInterval
+		core.Tick(now)
+		entries, bytes := sentTo(append(ready.First, saveAll(core)...))
+		c.Check(entries, qt.Equals, 0)
+		c.Check(bytes, qt.Equals, 0)
+
+		core.OfferSnapshot(snapshotOf(core, 100<<10))
+		index := core.CommitIndex()
+		_, _, ok := core.Propose(journaler.EntryCommand, []byte("x"))
+		c.Assert(ok, qt.IsTrue)
+		entries, bytes = sentTo(saveAll(core))
+		c.Check(entries, qt.Equals, 0)
+		c.Check(bytes, qt.Equals, 100<<10)
+		core.Step(replicator.Message{Cell: cellName, Kind: replicator.KindAppendReply, From: "b", To: "a", Term: 1, Index: index, Stamp: now})
+		entries, _ = sentTo(saveAll(core))
+		c.Check(entries, qt.Equals, 1)
+	}
+}
+
+// TestALogIsSentIfItsStateIsLargerOrNeverComes checks that entries aren't held back for good.
+func TestALogIsSentIfItsStateIsLargerOrNeverComes(t *testing.T) {
+	c := qt.New(t)
+	for _, offered := range []bool{false, true} {
+		core := leadLearner(c, make([]byte, 64<<10))
+		core.Tick(electionTimeout + heartbeatInterval)
+		core.Step(replicator.Message{Cell: cellName, Kind: replicator.KindAppendReply, From: "b", To: "a", Term: 1, Reject: true, Stamp: saveAll(core)[0].Stamp})
+		saveAll(core)
+		if offered {
+			core.OfferSnapshot(snapshotOf(core, 8<<20))
+		} else {
+			core.Tick(electionTimeout + heartbeatInterval + time.Second)
+		}
+		entries, bytes := sentTo(saveAll(core))
+		c.Check(entries, qt.Equals, 101)
+		c.Check(bytes, qt.Equals, 0)
+	}
+}
--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/crc32"
+	"time"
 
 	"github.com/dotterelrill/dotterelrill/journaler"
 )
@@ -148,19 +149,30 @@
 	}
 	peer.ackedStamp = max(peer.ackedStamp, message.Stamp)
 	if message.Reject {
-		peer.next = max(min(message.Index, core.log.last())+1, peer.match+1)
-		peer.windowStart = peer.next
+		core.restartSending(peer, message)
 		return
 	}
 	peer.match = max(peer.match, min(message.Index, core.log.last()))
 	peer.next = max(peer.next, peer.match+1)
 	if peer.outgoing != nil && peer.match >= peer.outgoing.snapshot.Index {
 		peer.outgoing = nil
+		peer.windowStart = peer.next
 	}
 	core.advanceCommit()
 	core.sendTimeoutNow()
 }
 
+// restartSending continues after the index of a rejection. A rejection of a message sent
+// before sending last restarted says nothing of what was sent since.
+func (core *Core) restartSending(peer *peer, rejection Message) {
+	if rejection.Stamp < peer.windowStamp {
+		return
+	}
+	peer.next = max(min(rejection.Index, core.log.last())+1, peer.match+1)
+	peer.windowStart = peer.next
+	peer.windowStamp = core.now
+}
+
 // replicate sends each follower the entries it lacks, up to the in-flight limit.
 func (core *Core) replicate() {
 	if core.role != Leader {
@@ -168,6 +180,9 @@
 	}
 	for _, member := range core.Members() {
 		peer := core.peers[member.ID]
+		if peer != nil && peer.outgoing == nil && core.prefersSnapshot(member.ID, peer) {
+			continue
+		}
 		for peer != nil && peer.outgoing == nil && peer.next <= core.log.last() && peer.inFlight() <= maxInFlightEntries {
 			core.sendAppend(member.ID, peer)
 		}
@@ -179,8 +194,8 @@
 	return peer.next - max(peer.match+1, peer.windowStart)
 }
 
-// sendHeartbeats sends a heartbeat, or the current snapshot piece, to each
-// follower. A heartbeat carries the index of the last entry sent, so that a
+// sendHeartbeats sends a heartbeat to each follower, or a probe of the snapshot
+// transfer. A heartbeat carries the index of the last entry sent, so that a
 // follower that missed a message rejects it.
 func (core *Core) sendHeartbeats() {
 	for _, member := range core.Members() {
@@ -188,7 +203,7 @@
 		switch {
 		case peer == nil:
 		case peer.outgoing != nil:
-			core.sendPiece(member.ID, peer)
+			core.sendPieceProbe(member.ID, peer)
 		default:
 			core.sendHeartbeat(member.ID, peer)
 		}
@@ -198,6 +213,10 @@
 func (core *Core) sendHeartbeat(id journaler.ReplicaID, peer *peer) {
 	previous := peer.next - 1
 	term, known := core.log.term(previous)
+	if !known && core.now < peer.holdUntil {
+		// Every log agrees at index 0.
+		previous, known = 0, true
+	}
 	if !known {
 		core.beginSnapshot(id, peer)
 		return
@@ -239,29 +258,85 @@
 	checksum uint32
 	// offset is the number of bytes that the follower has acknowledged.
 	offset int64
+	// sentAt is when the piece at the offset was sent.
+	sentAt time.Duration
 }
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
+// snapshotPatience is how long entries are held back for a new snapshot.
+const snapshotPatience = time.Second
+
+// prefersSnapshot reports whether a follower to which sending begins is sent no entries,
+// since it lacks many: it is sent a recent snapshot if that is smaller, and otherwise waits
+// for one.
+func (core *Core) prefersSnapshot(id journaler.ReplicaID, peer *peer) bool {
+	limit := core.config.CatchUpBytes
+	if peer.next != peer.windowStart || core.log.size(peer.next, limit) <= limit {
+		return false
+	}
+	snapshot := core.newestSnapshot()
+	if snapshot.Index >= peer.next && core.log.size(snapshot.Index+1, limit) <= limit {
+		peer.holdUntil = 0
+		smaller := core.log.size(peer.next, len(snapshot.Data)) > len(snapshot.Data)
+		if smaller {
+			core.beginSnapshot(id, peer)
+		}
+		return smaller
+	}
+	if peer.holdUntil == 0 {
+		peer.holdUntil = core.now + snapshotPatience
+		core.wantSnapshot = true
+	}
+	return core.now < peer.holdUntil
+}
+
+// newestSnapshot returns the newest of the snapshots that cover a part of the log.
+func (core *Core) newestSnapshot() *journaler.Snapshot {
+	if core.offered != nil && core.offered.Index > core.log.snapshot.Index {
+		return core.offered
+	}
+	return core.log.snapshot
+}
+
+// OfferSnapshot passes a snapshot of committed entries to the Core, which sends it to
+// followers that lack much of the log.
+func (core *Core) OfferSnapshot(snapshot *journaler.Snapshot) {
+	if core.role == Leader && snapshot.Index <= core.hardState.Commit {
+		core.offered = snapshot
+	}
+}
+
 func (core *Core) beginSnapshot(id journaler.ReplicaID, peer *peer) {
-	snapshot := core.log.snapshot
+	snapshot := core.newestSnapshot()
 	peer.outgoing = &outgoingSnapshot{snapshot: snapshot, checksum: crc32.Checksum(snapshot.Data, castagnoli)}
 	core.sendPiece(id, peer)
 }
 
 func (core *Core) sendPiece(id journaler.ReplicaID, peer *peer) {
 	outgoingSnapshot := peer.outgoing
-	total := int64(len(outgoingSnapshot.snapshot.Data))
-	end := min(outgoingSnapshot.offset+int64(core.config.PieceBytes), total)
+	end := min(outgoingSnapshot.offset+int64(core.config.PieceBytes), int64(len(outgoingSnapshot.snapshot.Data)))
+	outgoingSnapshot.sentAt = core.now
+	core.sendPieceData(id, peer, outgoingSnapshot.snapshot.Data[outgoingSnapshot.offset:end])
+}
+
+// sendPieceProbe sends a piece without data, whose reply says whether the piece before it
+// has arrived. Sending that one again would fill a slow link with copies of it.
+func (core *Core) sendPieceProbe(id journaler.ReplicaID, peer *peer) {
+	core.sendPieceData(id, peer, nil)
+}
+
+func (core *Core) sendPieceData(id journaler.ReplicaID, peer *peer, data []byte) {
+	outgoingSnapshot := peer.outgoing
 	core.send(Message{Kind: KindSnapshotPiece, To: id, Stamp: core.now, Piece: &Piece{
 		Index:    outgoingSnapshot.snapshot.Index,
 		Term:     outgoingSnapshot.snapshot.Term,
 		Chain:    outgoingSnapshot.snapshot.Chain,
 		Members:  outgoingSnapshot.snapshot.Members,
 		Offset:   outgoingSnapshot.offset,
-		Total:    total,
+		Total:    int64(len(outgoingSnapshot.snapshot.Data)),
 		Checksum: outgoingSnapshot.checksum,
-		Data:     outgoingSnapshot.snapshot.Data[outgoingSnapshot.offset:end],
+		Data:     data,
 	}})
 }
 
@@ -330,11 +405,14 @@
 		return
 	}
 	peer.ackedStamp = max(peer.ackedStamp, message.Stamp)
-	if peer.outgoing == nil || int64(message.Index) > int64(len(peer.outgoing.snapshot.Data)) {
+	outgoingSnapshot := peer.outgoing
+	received := int64(message.Index)
+	if outgoingSnapshot == nil || received > int64(len(outgoingSnapshot.snapshot.Data)) || message.Stamp < outgoingSnapshot.sentAt {
 		return
 	}
-	if peer.outgoing.offset != int64(message.Index) {
-		peer.outgoing.offset = int64(message.Index)
+	// The piece is lost if what was sent after it arrived without it.
+	if received != outgoingSnapshot.offset || message.Stamp > outgoingSnapshot.sentAt {
+		outgoingSnapshot.offset = received
 		core.sendPiece(message.From, peer)
 	}
 }
