conductor: a refusal waits for the changes that it relies on

A change was refused with 409, which ends an operator's call, because another one with its version was in force, although that one was still in flight and was never committed: the leader had lost its disk or its quorum. No version of that number was in force then. Only acknowledgements waited for the commit.

A refusal is now sent once the batches in flight are committed, as an acknowledgement is; if they fail, the caller is told that the outcome is unknown, which is a 504, and sends the same again.

--- a/conductor/request.go
+++ b/conductor/request.go
@@ -8,8 +8,9 @@
 	"github.com/dotterelrill/dotterelrill/stager"
 )
 
-// request runs decide on the owning goroutine and waits until the resulting
-// changes are committed. decide returns a refusal, or nil. A request whose caller has
+// request runs decide on the owning goroutine and waits until the changes that it made
+// or relied on are committed. decide returns a refusal, or nil: a refusal too may rely on
+// a change that is never committed. A request whose caller has
 // stopped waiting is dropped: an overloaded leader would otherwise spend its time on
 // answers that nobody receives, and be late with the others too.
 func (conductor *Conductor) request(ctx context.Context, decide func() *coder.Refusal) *coder.Refusal {
@@ -18,11 +19,13 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if refusal := decide(); refusal != nil {
+		refusal := decide()
+		conductor.afterCommit(func(err error) {
+			if err != nil {
+				refusal = commitRefusal(err)
+			}
 			reply <- refusal
-			return
-		}
-		conductor.afterCommit(func(err error) { reply <- commitRefusal(err) })
+		})
 	})
 	if !posted {
 		return coder.Refuse(coder.NotLeader, "this replica is no longer the leader")
@@ -41,12 +44,9 @@
 	return coder.Refuse(coder.Unknown, "the request was not decided in time")
 }
 
-// commitRefusal returns the refusal of a request whose batch failed, or nil.
-// The outcome is unknown, because another leader may still commit the batch.
+// commitRefusal returns the refusal of a request whose batch failed. The outcome is
+// unknown, because another leader may still commit the batch.
 func commitRefusal(err error) *coder.Refusal {
-	if err == nil {
-		return nil
-	}
 	return coder.Refuse(coder.Unknown, "the batch was not confirmed as committed: %v", err)
 }
 
