--- a/internal/cellrunner/runner.go
+++ b/internal/cellrunner/runner.go
@@ -140,8 +140,9 @@
 	return nil
 }
 
-func (runner *Runner) step(message replicator.Message) {
+func (runner *Runner) step(address string, message replicator.Message) {
 	if node := runner.node.Load(); node != nil {
+		runner.sender.Load().Learn(message.From, address)
 		node.Step(message)
 	}
 }
@@ -285,7 +286,7 @@
 			return nil, nil, err
 		}
 	}
-	sender := messenger.NewSender(ctx, runner.transport)
+	sender := messenger.NewSender(ctx, runner.settings.Address, runner.transport)
 	node, err := replicator.NewNode(replicator.NodeConfig{
 		Core: replicator.CoreConfig{
 			Cell:              runner.settings.CellName,
@@ -315,9 +316,11 @@
 // handleStatus is called by the node on each change of its status and must not
 // block.
 func (runner *Runner) handleStatus(sender *messenger.Sender, status replicator.Status) {
-	runner.formation.senderMutex.Lock()
-	runner.formation.updateSender(sender, &status)
-	runner.formation.senderMutex.Unlock()
+	// A joining replica has no membership of its own yet. The sender keeps the
+	// members from the leader's reply to Join.
+	if len(status.Members) > 0 {
+		sender.SetMembers(status.ID, status.Members)
+	}
 	logger.Info(runner.logger, "replica status", "Role", status.Role, "Term", status.Term, "Leader", status.Leader, "Members", len(status.Members), "Settled", status.Settled)
 	select {
 	case runner.statusChanged <- struct{}{}:
