--- a/replicator/core.go
+++ b/replicator/core.go
@@ -55,6 +55,7 @@
 	maxAppendBytes     = 1 << 20
 	maxInFlightEntries = 4096
 	defaultPieceBytes  = 256 << 10
+	maxInFlightPieces  = 4
 	// defaultCatchUpBytes is the default of CatchUpBytes.
 	defaultCatchUpBytes = 2 << 20
 	// leaseMarginDivisor sets the safety margin of a leader's lease: the lease is
--- a/replicator/protocol_test.go
+++ b/replicator/protocol_test.go
@@ -138,7 +138,8 @@
 func TestAPieceOnItsWayIsNotSentAgain(t *testing.T) {
 	c := qt.New(t)
 	core := leadLearner(c, []byte("x"))
-	core.Compact(snapshotOf(core, 4<<20))
+	const total = 4 << 20
+	core.Compact(snapshotOf(core, total))
 	now := electionTimeout
 	heartbeat := func() []replicator.Message {
 		now += heartbeatInterval
@@ -146,31 +147,32 @@
 		return saveAll(core)
 	}
 	core.Step(replicator.Message{Cell: cellName, Kind: replicator.KindAppendReply, From: "b", To: "a", Term: 1, Reject: true, Stamp: heartbeat()[0].Stamp})
-	pieces := append(saveAll(core), heartbeat()...)
-	c.Assert(pieces[0].Piece, qt.IsNotNil)
-	first := pieces[0]
-	for range 5 {
-		pieces = append(pieces, heartbeat()...)
+	sent := saveAll(core)
+	for range 6 {
+		sent = append(sent, heartbeat()...)
 	}
-	sent := 0
-	for _, piece := range pieces {
-		sent += len(piece.Piece.Data)
+	next := int64(0)
+	for _, message := range sent {
+		c.Assert(message.Piece, qt.IsNotNil)
+		c.Check(message.Piece.Offset, qt.Equals, next)
+		next += int64(len(message.Piece.Data))
 	}
-	c.Check(sent, qt.Equals, len(first.Piece.Data))
+	c.Check(next > 0 && next < total, qt.IsTrue, qt.Commentf("%d bytes on their way", next))
+	first := int64(len(sent[0].Piece.Data))
 
 	reply := replicator.Message{Cell: cellName, Kind: replicator.KindSnapshotPieceReply, From: "b", To: "a", Term: 1}
-	reply.Stamp = pieces[len(pieces)-1].Stamp
+	reply.Index, reply.Stamp = uint64(first), sent[0].Stamp
 	core.Step(reply)
-	again := saveAll(core)
-	c.Assert(again, qt.HasLen, 1)
-	c.Check(again[0].Piece.Offset, qt.Equals, int64(0), qt.Commentf("a later message arrived without the piece"))
-	c.Check(again[0].Piece.Data, qt.HasLen, len(first.Piece.Data))
+	following := saveAll(core)
+	c.Assert(following, qt.HasLen, 1)
+	c.Check(following[0].Piece.Offset, qt.Equals, next, qt.Commentf("a piece has arrived, the next ones may be on their way"))
 
-	reply.Index, reply.Stamp = uint64(len(first.Piece.Data)), again[0].Stamp
+	reply.Stamp = heartbeat()[0].Stamp
 	core.Step(reply)
-	next := saveAll(core)
-	c.Assert(next, qt.HasLen, 1)
-	c.Check(next[0].Piece.Offset, qt.Equals, int64(len(first.Piece.Data)))
+	again := saveAll(core)
+	c.Assert(len(again) > 0, qt.IsTrue)
+	c.Check(again[0].Piece.Offset, qt.Equals, first, qt.Commentf("a later message arrived without the second piece"))
+	c.Check(again[0].Piece.Data, qt.HasLen, int(first))
 }
 
 // snapshotOf returns a snapshot of the Core's committed entries, with a state of the size.
--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -256,9 +256,10 @@
 type outgoingSnapshot struct {
 	snapshot *journaler.Snapshot
 	checksum uint32
-	// offset is the number of bytes that the follower has acknowledged.
-	offset int64
-	// sentAt is when the piece at the offset was sent.
+	// offset is the number of bytes that the follower has acknowledged, and next the
+	// offset of the next piece.
+	offset, next int64
+	// sentAt is when the last piece was sent.
 	sentAt time.Duration
 }
 
@@ -310,30 +311,36 @@
 func (core *Core) beginSnapshot(id journaler.ReplicaID, peer *peer) {
 	snapshot := core.newestSnapshot()
 	peer.outgoing = &outgoingSnapshot{snapshot: snapshot, checksum: crc32.Checksum(snapshot.Data, castagnoli)}
-	core.sendPiece(id, peer)
+	if len(snapshot.Data) == 0 {
+		core.sendPieceProbe(id, peer)
+	}
+	core.sendPieces(id, peer)
 }
 
-func (core *Core) sendPiece(id journaler.ReplicaID, peer *peer) {
+// sendPieces sends pieces until maxInFlightPieces are on their way.
+func (core *Core) sendPieces(id journaler.ReplicaID, peer *peer) {
 	outgoingSnapshot := peer.outgoing
-	end := min(outgoingSnapshot.offset+int64(core.config.PieceBytes), int64(len(outgoingSnapshot.snapshot.Data)))
-	outgoingSnapshot.sentAt = core.now
-	core.sendPieceData(id, peer, outgoingSnapshot.snapshot.Data[outgoingSnapshot.offset:end])
+	size, total := int64(core.config.PieceBytes), int64(len(outgoingSnapshot.snapshot.Data))
+	for outgoingSnapshot.next < min(outgoingSnapshot.offset+maxInFlightPieces*size, total) {
+		end := min(outgoingSnapshot.next+size, total)
+		core.sendPiece(id, peer, outgoingSnapshot.snapshot.Data[outgoingSnapshot.next:end])
+		outgoingSnapshot.next = end
+		outgoingSnapshot.sentAt = core.now
+	}
 }
 
-// sendPieceProbe sends a piece without data, whose reply says whether the piece before it
-// has arrived. Sending that one again would fill a slow link with copies of it.
-func (core *Core) sendPieceProbe(id journaler.ReplicaID, peer *peer) {
-	core.sendPieceData(id, peer, nil)
-}
+// sendPieceProbe sends a piece without data, whose reply says whether the pieces before it
+// have arrived. Sending those again would fill a slow link with copies of them.
+func (core *Core) sendPieceProbe(id journaler.ReplicaID, peer *peer) { core.sendPiece(id, peer, nil) }
 
-func (core *Core) sendPieceData(id journaler.ReplicaID, peer *peer, data []byte) {
+func (core *Core) sendPiece(id journaler.ReplicaID, peer *peer, data []byte) {
 	outgoingSnapshot := peer.outgoing
 	core.send(Message{Kind: KindSnapshotPiece, To: id, Stamp: core.now, Piece: &Piece{
 		Index:    outgoingSnapshot.snapshot.Index,
 		Term:     outgoingSnapshot.snapshot.Term,
 		Chain:    outgoingSnapshot.snapshot.Chain,
 		Members:  outgoingSnapshot.snapshot.Members,
-		Offset:   outgoingSnapshot.offset,
+		Offset:   outgoingSnapshot.next,
 		Total:    int64(len(outgoingSnapshot.snapshot.Data)),
 		Checksum: outgoingSnapshot.checksum,
 		Data:     data,
@@ -407,12 +414,16 @@
 	peer.ackedStamp = max(peer.ackedStamp, message.Stamp)
 	outgoingSnapshot := peer.outgoing
 	received := int64(message.Index)
-	if outgoingSnapshot == nil || received > int64(len(outgoingSnapshot.snapshot.Data)) || message.Stamp < outgoingSnapshot.sentAt {
+	if outgoingSnapshot == nil || received > int64(len(outgoingSnapshot.snapshot.Data)) {
 		return
 	}
-	// The piece is lost if what was sent after it arrived without it.
-	if received != outgoingSnapshot.offset || message.Stamp > outgoingSnapshot.sentAt {
+	switch {
+	case message.Stamp > outgoingSnapshot.sentAt && received != outgoingSnapshot.next:
+		// What was sent after the last piece arrived without all pieces: the rest is lost.
+		outgoingSnapshot.offset, outgoingSnapshot.next = received, received
+	case received > outgoingSnapshot.offset:
 		outgoingSnapshot.offset = received
-		core.sendPiece(message.From, peer)
+		outgoingSnapshot.next = max(outgoingSnapshot.next, received)
 	}
+	core.sendPieces(message.From, peer)
 }
