conductor: the load line tells how long commits take

Change: the line `load` has the batches of the second, their commands, and the time from proposal to commit, in all and the longest.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -254,13 +254,15 @@
 		return
 	}
 	conductor.inFlight++
+	commands := len(batch.Commands)
 	proposed := conductor.config.Clock()
 	go func() {
 		waitCtx, cancel := context.WithTimeout(ctx, commitTimeout)
 		defer cancel()
 		err := wait(waitCtx)
-		conductor.instruments.commit.Update((conductor.config.Clock() - proposed).Seconds())
-		if !conductor.post(func() { conductor.finishBatch(effects, err) }) {
+		took := conductor.config.Clock() - proposed
+		conductor.instruments.commit.Update(took.Seconds())
+		if !conductor.post(func() { conductor.load.addBatch(commands, took); conductor.finishBatch(effects, err) }) {
 			conductor.runEffects(effects, ErrNotCommitted)
 		}
 	}()
--- a/conductor/plan.go
+++ b/conductor/plan.go
@@ -59,6 +59,19 @@
 	planTime time.Duration
 	// lag is the longest time that work waited in the mailbox before it was run.
 	lag time.Duration
+	// batches counts the batches that were committed or failed, with commands commands
+	// in all. The time from proposal to commit is commitTime in all, and maxCommitTime
+	// for the slowest one.
+	batches, commands         int
+	commitTime, maxCommitTime time.Duration
+}
+
+// addBatch counts a batch that took the time from its proposal to its commit.
+func (load *load) addBatch(commands int, took time.Duration) {
+	load.batches++
+	load.commands += commands
+	load.commitTime += took
+	load.maxCommitTime = max(load.maxCommitTime, took)
 }
 
 // loadLogInterval is how often the load is logged.
@@ -80,7 +93,9 @@
 	logger.Info(conductor.config.Logger, "load", "OpenJobs", len(conductor.state.Open()), "StepsAsking", summary.Asking, "StepsWithoutRoom", summary.NoRoom,
 		"StepsAtLimit", summary.AtLimit, "Workers", len(conductor.connections), "Usable", len(usable),
 		"FreeMilliProcessors", free.MilliProcessors, "FreeMemoryMiB", free.MemoryMiB, "BatchesInFlight", conductor.inFlight,
-		"Passes", conductor.load.passes, "PlanMillis", conductor.load.planTime.Milliseconds(), "LagMillis", conductor.load.lag.Milliseconds())
+		"Passes", conductor.load.passes, "PlanMillis", conductor.load.planTime.Milliseconds(), "LagMillis", conductor.load.lag.Milliseconds(),
+		"Batches", conductor.load.batches, "Commands", conductor.load.commands, "CommitMillis", conductor.load.commitTime.Milliseconds(),
+		"MaxCommitMillis", conductor.load.maxCommitTime.Milliseconds())
 	conductor.load = load{}
 }
 
