--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -5,6 +5,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -12,8 +13,8 @@
 
 // New returns a logger that writes JSON lines for the named program to out.
 func New(out io.Writer, program string) log.Logger {
-	jsonLogger := log.NewJSONLogger(log.NewSyncWriter(out))
-	return log.With(jsonLogger, "Time", log.DefaultTimestampUTC, "Program", program)
+	now := log.Valuer(func() any { return time.Now().UTC() })
+	return log.With(newJSONLogger(log.NewSyncWriter(out)), "Time", now, "Program", program)
 }
 
 // Info logs normal operation. The pairs are keys and values.
--- a/internal/logger/ring.go
+++ b/internal/logger/ring.go
@@ -47,38 +47,44 @@
 
 func (ring *Ring) run() {
 	defer close(ring.ended)
-	for line := <-ring.lines; line != nil; {
-		text, next := ring.gather(line)
-		// An error of the log's own output cannot be reported anywhere.
-		_, _ = ring.out.Write(text)
-		if count := ring.dropped.Swap(0); count > 0 {
-			_, _ = fmt.Fprintf(ring.out, "{\"Message\":\"log lines dropped\",\"Count\":%d,\"level\":\"warn\"}\n", count)
+	for line := range ring.lines {
+		// The lines of the next while are not awaited one by one, as each would wake
+		// this goroutine.
+		if line != nil {
+			time.Sleep(gatherDelay)
 		}
-		if next == nil {
-			next = ring.lines
+		if ring.writeGathered(line) {
+			return
 		}
-		line = <-next
 	}
 }
 
-// gather returns the first line and those that follow within gatherDelay as one text,
-// and a channel that holds the line after them if that was received already, or nil.
-func (ring *Ring) gather(text []byte) ([]byte, chan []byte) {
-	timer := time.NewTimer(gatherDelay)
-	defer timer.Stop()
-	for {
+// writeGathered writes a line and those that are buffered. It reports whether Close has
+// been called.
+func (ring *Ring) writeGathered(text []byte) bool {
+	for text != nil {
 		select {
 		case line := <-ring.lines:
-			if line == nil || len(text)+len(line) > maxGatheredBytes {
-				next := make(chan []byte, 1)
-				next <- line
-				return text, next
+			if line != nil && len(text)+len(line) <= maxGatheredBytes {
+				text = append(text, line...)
+				continue
 			}
-			text = append(text, line...)
-		case <-timer.C:
-			return text, nil
+			ring.write(text)
+			text = line
+		default:
+			ring.write(text)
+			return false
 		}
 	}
+	return true
+}
+
+func (ring *Ring) write(text []byte) {
+	// An error of the log's own output cannot be reported anywhere.
+	_, _ = ring.out.Write(text)
+	if count := ring.dropped.Swap(0); count > 0 {
+		_, _ = fmt.Fprintf(ring.out, "{\"Message\":\"log lines dropped\",\"Count\":%d,\"level\":\"warn\"}\n", count)
+	}
 }
 
 // Close writes the buffered lines, as far as the reader accepts them within a
