conductor: no holds while endings are not committed

Cause: a hold acknowledges the endings that are committed. While the endings of the last one were on their way to the log, each tick and each answered start sent a worker another hold, which acknowledged nothing new and which the worker therefore answered at once with the same endings. The slower commits are, the more of these there are, and they take the processor that the commits need: a feedback that keeps an overloaded leader overloaded.

TestNoHoldIsSentWhileEndingsAreNotCommitted said before

conductor_test.go:705: values are not equal, got: int(7), want: int(3)

Change: no hold is sent while reported endings are not committed. The one that acknowledges them follows their commit, as before.

Result: the tests of conductor pass.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -684,3 +684,29 @@
 	fleet.await("the second start of the task", func() bool { return len(fleet.starts) == 2 })
 	fleet.await("the new incarnation's admission", func() bool { return fleet.state.Workers["w1"] != nil && fleet.state.Workers["w1"].Life == 2 })
 }
+
+// TestNoHoldIsSentWhileEndingsAreNotCommitted guards against holds that the worker answers
+// at once with the same endings, the more of them the slower commits are.
+func TestNoHoldIsSentWhileEndingsAreNotCommitted(t *testing.T) {
+	fleet := newFleet(t, nil)
+	fleet.announce("w", 4)
+	fleet.submit("j", singleCoreStep(2))
+	fleet.await("both starts", func() bool { return len(fleet.running["w"]) == 2 })
+	fleet.mutex.Lock()
+	fleet.commitGate = make(chan struct{})
+	fleet.finish("w", "j.0.0.0", stager.Succeeding)
+	fleet.mutex.Unlock()
+	// The hold in flight reports the ending meanwhile.
+	time.Sleep(100 * time.Millisecond)
+	holds := func() int { fleet.mutex.Lock(); defer fleet.mutex.Unlock(); return len(fleet.holdOrder) }
+	before := holds()
+	// This is longer than several ticks of the conductor.
+	time.Sleep(450 * time.Millisecond)
+	fleet.c.Check(holds(), qt.Equals, before)
+	fleet.mutex.Lock()
+	gate := fleet.commitGate
+	fleet.commitGate = nil
+	fleet.mutex.Unlock()
+	close(gate)
+	fleet.await("the acknowledgement of the ending", func() bool { return fleet.acknowledged["w"] == 1 })
+}
--- a/conductor/connection.go
+++ b/conductor/connection.go
@@ -67,6 +67,8 @@
 	// acknowledgedEnding is the last such number that was acknowledged to the
 	// worker.
 	committedEnding, acknowledgedEnding uint64
+	// reportedEnding is the number of the last ending that the worker has reported.
+	reportedEnding uint64
 
 	// pace is estimated from the tasks that succeed here.
 	pace estimator.Pace
@@ -340,7 +342,8 @@
 	if connection.successor != successor {
 		logger.Warn(conductor.config.Logger, "new life of a worker", "Worker", connection.name, "Life", int64(connection.incarnation), "NewLife", int64(successor), "Live", len(connection.attempts))
 		connection.successor, connection.successorSeenAt = successor, conductor.config.Clock()
-		connection.workerClock, connection.leaseExpires, connection.committedEnding, connection.acknowledgedEnding = 0, 0, 0, 0
+		connection.workerClock, connection.leaseExpires = 0, 0
+		connection.committedEnding, connection.acknowledgedEnding, connection.reportedEnding = 0, 0, 0
 		connection.cancelCalls()
 		connection.callContext, connection.cancelCalls = context.WithCancel(conductor.callContext)
 		for _, attempt := range connection.sortedAttempts() {
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -30,8 +30,9 @@
 )
 
 // ensureHold keeps one hold, a long poll, in flight to a worker that runs
-// attempts or still stores endings that it may discard. An unresponsive worker
-// is probed first.
+// attempts or still stores endings that it may discard. While reported endings are not
+// committed there is none: the worker would report them again at once. An unresponsive
+// worker is probed first.
 func (conductor *Conductor) ensureHold(connection *connection) {
 	now := conductor.config.Clock()
 	if connection.holdInFlight || now < connection.nextHoldAt {
@@ -44,6 +45,9 @@
 	if len(connection.attempts) == 0 && connection.acknowledgedEnding >= connection.committedEnding {
 		return
 	}
+	if connection.reportedEnding > connection.committedEnding {
+		return
+	}
 	wanted := len(connection.attempts) == 0
 	for _, attempt := range connection.attempts {
 		wanted = wanted || attempt.awaitingReport || attempt.state == running || attempt.stopAcknowledgedAt != 0 || attempt.startUnconfirmed
@@ -265,6 +269,7 @@
 	if newest == connection.committedEnding {
 		return
 	}
+	connection.reportedEnding = newest
 	conductor.afterCommit(func(err error) {
 		if err == nil {
 			connection.committedEnding = max(connection.committedEnding, newest)
