conductor: a new incarnation's endings are not acknowledged unseen

What callers saw: nothing was traced to this. A task that ended on a new incarnation of its worker could have run twice (TWICE).

Cause: when a new incarnation of a worker is seen, the number of the last committed ending begins anew, as the incarnation counts its own from 1. An ending of the old one whose batch was still on its way set the number again, so that the next hold acknowledged endings of the new incarnation that nobody had read. The longer a commit takes, the likelier that is.

Change: a committed ending counts only for the incarnation that reported it.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -710,3 +710,46 @@
 	close(gate)
 	fleet.await("the acknowledgement of the ending", func() bool { return fleet.acknowledged["w"] == 1 })
 }
+
+// TestASuccessorsEndingsAreNotAcknowledgedUnseen guards against an ending of the old
+// incarnation, committed late, being acknowledged to the new one, which counts its own
+// from 1: a task that ended there would be run again.
+func TestASuccessorsEndingsAreNotAcknowledgedUnseen(t *testing.T) {
+	fleet := newFleet(t, nil)
+	fleet.announce("w", 4)
+	fleet.submit("j", singleCoreStep(2))
+	fleet.await("both starts", func() bool { return len(fleet.running["w"]) == 2 })
+	var observed []uint64
+	fleet.mutex.Lock()
+	fleet.commitGate = make(chan struct{})
+	gate := fleet.commitGate
+	second := fleet.running["w"]["j.0.0.1"]
+	fleet.finish("w", "j.0.0.0", stager.Succeeding)
+	fleet.onHold = func(target conductor.Target, order *conductor.HoldOrder) *conductor.HoldAnswer {
+		if target.Life != 2 {
+			return nil
+		}
+		observed = append(observed, order.Observed)
+		return &conductor.HoldAnswer{
+			Answer: conductor.Answer{Outcome: conductor.Obeyed, Clock: workerClock()}, Life: 2,
+			Running: []conductor.RunningAttempt{{Task: second.Task, Attempt: second.Attempt}},
+		}
+	}
+	fleet.mutex.Unlock()
+	// The hold in flight reports the ending meanwhile.
+	time.Sleep(100 * time.Millisecond)
+	announced := make(chan struct{})
+	go func() { fleet.announceIncarnation("w", 4, 2); close(announced) }()
+	time.Sleep(100 * time.Millisecond)
+	fleet.mutex.Lock()
+	fleet.commitGate = nil
+	fleet.mutex.Unlock()
+	close(gate)
+	<-announced
+	fleet.await("holds of the new incarnation", func() bool { return len(observed) >= 5 })
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	for _, number := range observed {
+		fleet.c.Check(number, qt.Equals, uint64(0))
+	}
+}
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -270,8 +270,10 @@
 		return
 	}
 	connection.reportedEnding = newest
+	successor := connection.successor
 	conductor.afterCommit(func(err error) {
-		if err == nil {
+		// A successor counts its own endings from 1.
+		if err == nil && connection.successor == successor {
 			connection.committedEnding = max(connection.committedEnding, newest)
 		}
 	})
