cellrunner: seeded sequences of disks that are full in turn

The test of disks that are full in turn knew one kind of full disk, one operator and no other fault. After the last span each sends its last changes again and a new one. All must be acknowledged within the time that the test before asks for, none may be refused with another code than that of a cell without a leader, and the newest must be in force.

--- a/internal/cellrunner/fulldisk_test.go
+++ b/internal/cellrunner/fulldisk_test.go
@@ -47,12 +47,23 @@
 	full                    atomic.Bool
 	// refuses, if set, reports whether the disk is full for a write to the named file.
 	refuses func(name string) bool
+	// fault, if set, replaces what the disk does.
+	fault atomic.Pointer[diskFault]
+	// stop tells the running process to stop, as SIGTERM does.
+	stop atomic.Pointer[context.CancelFunc]
+	// wiped is true if the process is to find an empty disk at its next start.
+	wiped atomic.Bool
+	// logs is the file of its log; empty means none.
+	logs string
 	// ends counts how often the replica has ended by itself.
 	ends atomic.Int64
 }
 
 // write fails while the disk is full, after a random part of the data.
 func (diskReplica *diskReplica) write(file *os.File, data []byte) (int, error) {
+	if fault := diskReplica.fault.Load(); fault != nil {
+		return fault.write(file, data)
+	}
 	if !diskReplica.full.Load() && (diskReplica.refuses == nil || !diskReplica.refuses(filepath.Base(file.Name()))) {
 		return file.Write(data)
 	}
@@ -62,18 +73,43 @@
 
 func (diskReplica *diskReplica) supervise(ctx context.Context) {
 	for ctx.Err() == nil {
-		runner := cellrunner.New(diskReplica.settings, log.NewNopLogger())
+		if diskReplica.wiped.Swap(false) {
+			diskReplica.wipe()
+		}
+		runner := cellrunner.New(diskReplica.settings, diskReplica.logger())
 		runner.Write = diskReplica.write
-		// No machine loses power here, and a sync of a busy disk may take seconds.
-		runner.Sync = func(*os.File) error { return nil }
+		runner.Sync = diskReplica.sync
 		runner.ServeStagedJobs(unreachableWorkers())
-		if err := runner.Run(ctx); err != nil {
+		processCtx, stop := context.WithCancel(ctx)
+		diskReplica.stop.Store(&stop)
+		if err := runner.Run(processCtx); err != nil {
 			diskReplica.ends.Add(1)
 		}
+		stop()
 		time.Sleep(restartDelay)
 	}
 }
 
+func (diskReplica *diskReplica) logger() log.Logger {
+	if diskReplica.logs == "" {
+		return log.NewNopLogger()
+	}
+	file, err := os.OpenFile(diskReplica.logs, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return log.NewNopLogger()
+	}
+	return log.With(log.NewLogfmtLogger(log.NewSyncWriter(file)), "T", log.TimestampFormat(time.Now, "05.000"))
+}
+
+// sync does nothing: no machine loses power here, and a sync of a busy disk may take
+// seconds.
+func (diskReplica *diskReplica) sync(file *os.File) error {
+	if fault := diskReplica.fault.Load(); fault != nil {
+		return fault.sync(file)
+	}
+	return nil
+}
+
 func unreachableWorkers() cellrunner.WorkerCalls {
 	notSent := conductor.Answer{Outcome: conductor.NotSent}
 	return cellrunner.WorkerCalls{
@@ -106,6 +142,8 @@
 	locator  *locator.Locator
 	relayer  *relayer.Relayer
 	version  uint64
+	// processes are the supervisors of the replicas.
+	processes sync.WaitGroup
 }
 
 // startDiskCell starts a cell that the first founders replicas form and the others
@@ -128,6 +166,7 @@
 		c.Assert(replica.settings.Set().Parse("cell.ini", []byte(text)), qt.HasLen, 0)
 		cell.replicas = append(cell.replicas, replica)
 	}
+	c.Cleanup(cell.processes.Wait)
 	cell.locator = locator.New(locator.Config{Addresses: addresses[:founders]})
 	c.Cleanup(cell.locator.Close)
 	cell.relayer = relayer.New(relayer.Config{Cell: "c", Name: "operator", Locator: cell.locator, Logger: log.NewNopLogger()})
@@ -136,11 +175,16 @@
 
 func (cell *diskCell) start(ctx context.Context) {
 	for _, replica := range cell.replicas {
-		go replica.supervise(ctx)
+		cell.run(ctx, replica)
 	}
 	go cell.relayer.Run(ctx)
 }
 
+// run runs a replica until the context ends.
+func (cell *diskCell) run(ctx context.Context, replica *diskReplica) {
+	cell.processes.Go(func() { replica.supervise(ctx) })
+}
+
 // change sends the next change until it is acknowledged, and returns how long that
 // took. It returns false if the timeout passes first.
 func (cell *diskCell) change(timeout time.Duration) (time.Duration, bool) {
