cellrunner: relays leave a leader whose disk stands still

While the leader's disk answered nothing, changes and jobs went unanswered or were refused for as long as that lasted, although another replica led after a second.

Cause: a process finds the leader once and then follows it as long as that sends heartbeats for inquiries. A replica whose goroutine waits for its disk doesn't learn of the new term, its leadership doesn't end, and other goroutines went on sending heartbeats, although each request was refused for want of a lease. A refusal for that reason is tried again at the same leader, since it usually gets its lease back.

Now a replica sends no heartbeat while it holds no lease. A process that hears nothing for 800 ms searches for the leader, as it does after a cut; a lease that lapses for less costs nothing. An inquiry then ends the stream, and is asked again. The streams to entries end without a lease already, and calls of package locator try the other replicas.

--- a/internal/cellrunner/stagedservice.go
+++ b/internal/cellrunner/stagedservice.go
@@ -161,6 +161,9 @@
 	defer cancel()
 	var sentReplicas []string
 	sendInquiry := func(inquiry *stager.Inquiry) error {
+		if !runner.node.Load().Leads() {
+			return runner.withhold(inquiry)
+		}
 		message := &messenger.InquiryMessage{Inquiry: *inquiry}
 		if current := runner.replicaAddresses(); !slices.Equal(current, sentReplicas) {
 			message.Replicas, sentReplicas = current, current
@@ -173,6 +176,16 @@
 	return leadership.stagedService.inquirer.Attach(ctx, sendInquiry)
 }
 
+// withhold is called for an inquiry while this replica holds no lease, as when its disk
+// stands still and another one leads. A heartbeat is left out, so that the process
+// searches for the leader if this goes on; an inquiry ends the stream, and is asked again.
+func (runner *Runner) withhold(inquiry *stager.Inquiry) error {
+	if len(inquiry.Workers) == 0 {
+		return nil
+	}
+	return runner.notLeader()
+}
+
 // sendKeepalives sends empty questions at the interval that the inquirer uses.
 func sendKeepalives(ctx context.Context, send func(*stager.Inquiry) error) error {
 	ticker := time.NewTicker(inquirer.HeartbeatInterval)
