--- a/internal/cellrunner/fulldiskturn_test.go
+++ b/internal/cellrunner/fulldiskturn_test.go
@@ -94,9 +94,15 @@
 }
 
 // stalled returns a disk whose writes wait until the channel is closed.
-func stalled(until <-chan struct{}) *diskFault {
+func stalled(until <-chan struct{}) *diskFault { return stalledFor("", until) }
+
+// stalledFor returns a disk whose writes to the files whose name contains the text wait
+// until the channel is closed.
+func stalledFor(text string, until <-chan struct{}) *diskFault {
 	return &diskFault{sync: syncs, write: func(file *os.File, data []byte) (int, error) {
-		<-until
+		if strings.Contains(filepath.Base(file.Name()), text) {
+			<-until
+		}
 		return file.Write(data)
 	}}
 }
--- a/internal/cellrunner/stalleddisk_test.go
+++ b/internal/cellrunner/stalleddisk_test.go
@@ -29,3 +29,25 @@
 	leader.fault.Store(nil)
 	c.Logf("acknowledged after %s", took)
 }
+
+// TestASnapshotThatStandsStillDelaysNoChange stalls the leader's disk for snapshots alone,
+// as a large file may take long while the log is written.
+func TestASnapshotThatStandsStillDelaysNoChange(t *testing.T) {
+	const snapshots = 3
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	cell := startDiskCell(ctx, c, 3, 3)
+	cell.awaitWhole(quorumTimeout)
+	_, acknowledged := cell.change(quorumTimeout)
+	c.Assert(acknowledged, qt.IsTrue)
+	leader := cell.replicas[cell.leaderOr(0)]
+	released := make(chan struct{})
+	defer close(released)
+	leader.fault.Store(stalledFor(".snapshot", released))
+	for range snapshots * int(leader.settings.SnapshotEvery) {
+		took, acknowledged := cell.change(quorumTimeout)
+		c.Assert(acknowledged && took < ackTimeout, qt.IsTrue, qt.Commentf("acknowledged: %t, after %s", acknowledged, took))
+	}
+	leader.fault.Store(nil)
+}
--- a/replicator/apply.go
+++ b/replicator/apply.go
@@ -9,13 +9,26 @@
 )
 
 // runApply applies committed entries to the state machine, which it owns, and
-// takes snapshots of its state.
+// takes snapshots of its state. It applies further entries while a snapshot is being
+// saved, which may take long.
 func (node *Node) runApply(ctx context.Context) error {
 	lastSnapshot := node.applied.Load()
+	saved := make(chan error, 1)
+	saving := false
+	defer func() {
+		if saving {
+			<-saved
+		}
+	}()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case err := <-saved:
+			saving = false
+			if err != nil {
+				return err
+			}
 		case request := <-node.applyRequests:
 			if request.install != nil {
 				if err := node.restore(request.install); err != nil {
@@ -26,13 +39,15 @@
 			}
 			node.applyEntries(request.entries)
 			last := &request.entries[len(request.entries)-1]
-			if last.Index < lastSnapshot+node.config.SnapshotEvery {
+			if saving || last.Index < lastSnapshot+node.config.SnapshotEvery {
 				continue
 			}
-			if err := node.saveSnapshot(last, request.members); err != nil {
+			snapshot, err := node.takeSnapshot(last, request.members)
+			if err != nil {
 				return err
 			}
-			lastSnapshot = last.Index
+			saving, lastSnapshot = true, last.Index
+			go func() { saved <- node.saveSnapshot(snapshot) }()
 		}
 	}
 }
@@ -83,19 +98,22 @@
 	proposal.reply <- proposalReply{index: entry.Index, result: result}
 }
 
-// saveSnapshot saves a snapshot of the state machine after the last applied entry.
-func (node *Node) saveSnapshot(last *journaler.Entry, records []memberRecord) error {
+// takeSnapshot returns a snapshot of the state machine after the last applied entry.
+func (node *Node) takeSnapshot(last *journaler.Entry, records []memberRecord) (*journaler.Snapshot, error) {
 	data, err := node.config.StateMachine.Snapshot()
 	if err != nil {
-		return eris.Wrap(err, "take a snapshot")
+		return nil, eris.Wrap(err, "take a snapshot")
 	}
-	snapshot := &journaler.Snapshot{
+	return &journaler.Snapshot{
 		Index:   last.Index,
 		Term:    last.Term,
 		Chain:   last.Chain,
 		Members: memberLog(records).at(last.Index),
 		Data:    data,
-	}
+	}, nil
+}
+
+func (node *Node) saveSnapshot(snapshot *journaler.Snapshot) error {
 	if err := node.config.Journal.SaveSnapshot(snapshot); err != nil {
 		return err
 	}
--- a/replicator/node.go
+++ b/replicator/node.go
@@ -66,8 +66,8 @@
 }
 
 // Node runs a replica with two goroutines: one owns the Core and writes the log
-// to the journal; the other owns the state machine, applies entries and
-// saves snapshots. Its methods may be called concurrently.
+// to the journal; the other owns the state machine, applies entries and takes
+// snapshots, which a third one saves. Its methods may be called concurrently.
 type Node struct {
 	config    NodeConfig
 	core      *Core
