--- a/replicator/apply.go
+++ b/replicator/apply.go
@@ -9,14 +9,21 @@
 )
 
 // runApply applies committed entries to the state machine, which it owns, and
-// takes snapshots of its state.
+// takes snapshots of its state. It applies further entries while a snapshot is being
+// saved, which may take long.
 func (node *Node) runApply(ctx context.Context) error {
-	lastSnapshot := node.applied.Load()
+	saver := &snapshotSaver{node: node, newest: node.applied.Load(), saved: make(chan error, 1)}
+	defer saver.wait()
 	var last applyRequest
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case err := <-saver.saved:
+			saver.saving = false
+			if err != nil {
+				return err
+			}
 		case request := <-node.applyRequests:
 			if request.offer {
 				if err := node.offerSnapshot(&last); err != nil {
@@ -25,27 +32,51 @@
 				continue
 			}
 			last = request
-			saved, err := node.applyRequest(&request, lastSnapshot)
-			if err != nil {
+			if err := node.applyRequest(&request, saver); err != nil {
 				return err
 			}
-			lastSnapshot = saved
 		}
 	}
 }
 
-// applyRequest restores a snapshot, or applies entries and saves a snapshot if one is due.
-// It returns the index of the newest snapshot.
-func (node *Node) applyRequest(request *applyRequest, lastSnapshot uint64) (uint64, error) {
+// applyRequest restores a snapshot, or applies entries and begins to save a snapshot if one
+// is due.
+func (node *Node) applyRequest(request *applyRequest, saver *snapshotSaver) error {
 	if request.install != nil {
-		return request.install.Index, node.restore(request.install)
+		saver.newest = request.install.Index
+		return node.restore(request.install)
 	}
 	node.applyEntries(request.entries)
-	applied := node.applied.Load()
-	if applied < lastSnapshot+node.config.SnapshotEvery {
-		return lastSnapshot, nil
+	if saver.saving || node.applied.Load() < saver.newest+node.config.SnapshotEvery {
+		return nil
+	}
+	snapshot, err := node.takeSnapshot(request)
+	if err == nil {
+		saver.save(snapshot)
+	}
+	return err
+}
+
+// snapshotSaver saves one snapshot at a time.
+type snapshotSaver struct {
+	node *Node
+	// newest is the index of the newest snapshot.
+	newest uint64
+	saving bool
+	// saved receives the result of each save.
+	saved chan error
+}
+
+func (snapshotSaver *snapshotSaver) save(snapshot *journaler.Snapshot) {
+	snapshotSaver.saving, snapshotSaver.newest = true, snapshot.Index
+	go func() { snapshotSaver.saved <- snapshotSaver.node.saveSnapshot(snapshot) }()
+}
+
+// wait waits for the save in progress, if there is one.
+func (snapshotSaver *snapshotSaver) wait() {
+	if snapshotSaver.saving {
+		<-snapshotSaver.saved
 	}
-	return applied, node.saveSnapshot(request)
 }
 
 func (node *Node) restore(snapshot *journaler.Snapshot) error {
@@ -110,12 +141,7 @@
 	}, nil
 }
 
-// saveSnapshot saves a snapshot of the state machine after the last applied entries.
-func (node *Node) saveSnapshot(applied *applyRequest) error {
-	snapshot, err := node.takeSnapshot(applied)
-	if err != nil {
-		return err
-	}
+func (node *Node) saveSnapshot(snapshot *journaler.Snapshot) error {
 	if err := node.config.Journal.SaveSnapshot(snapshot); err != nil {
 		return err
 	}
