A replica replies to a leader that its own membership lacks

A replica that had lost its disk stayed without a vote for as long as its leader led: the cell bore no further loss, and the next one ended it (LOST, RECOVER).

Cause: a replica sent only to the members of its own membership, so its replies to a leader that had become a member later were dropped. The leader repeats what was not answered; the replica hears of its leader and has no reason to campaign or to join again. This needs two lost disks one after the other, each within what the cell bears, with the first one's successor leading at the second. Looking for the same cause elsewhere: a voter that was down while the leader's disk was replaced stays behind in the same way.

A replica now tells its address when it opens a stream to another one, which replies there until its own membership is set anew. It is the address that a member has in the membership; a message of a known member changes nothing. A leader of an earlier version tells none, and is treated as before.

--- a/internal/cellrunner/relay.go
+++ b/internal/cellrunner/relay.go
@@ -41,7 +41,7 @@
 		return eris.Wrap(err, "listen for replicas")
 	}
 	server := messenger.NewServer(nil)
-	(&messenger.ReplicaServer{Step: func(replicator.Message) {}, Identify: relay.identify}).Register(server)
+	(&messenger.ReplicaServer{Step: func(string, replicator.Message) {}, Identify: relay.identify}).Register(server)
 	relay.cellServer().Register(server)
 	defer context.AfterFunc(ctx, func() { stopServer(server) })()
 	return server.Serve(listener)
--- a/internal/cellrunner/runner.go
+++ b/internal/cellrunner/runner.go
@@ -140,8 +140,9 @@
 	return nil
 }
 
-func (runner *Runner) step(message replicator.Message) {
+func (runner *Runner) step(address string, message replicator.Message) {
 	if node := runner.node.Load(); node != nil {
+		runner.sender.Load().Learn(message.From, address)
 		node.Step(message)
 	}
 }
@@ -285,7 +286,7 @@
 			return nil, nil, err
 		}
 	}
-	sender := messenger.NewSender(ctx, runner.transport)
+	sender := messenger.NewSender(ctx, runner.settings.Address, runner.transport)
 	node, err := replicator.NewNode(replicator.NodeConfig{
 		Core: replicator.CoreConfig{
 			Cell:              runner.settings.CellName,
--- a/messenger/sender.go
+++ b/messenger/sender.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/metadata"
 
 	"github.com/dotterelrill/dotterelrill/journaler"
 	"github.com/dotterelrill/dotterelrill/replicator"
@@ -35,11 +36,27 @@
 	cancel  context.CancelFunc
 }
 
-// NewSender returns a sender that runs until the context ends.
-func NewSender(ctx context.Context, transport credentials.TransportCredentials) *Sender {
+// addressKey is the metadata of a stream that holds its sender's address.
+const addressKey = "dotterelrill-address"
+
+// NewSender returns a sender that runs until the context ends. It tells the other
+// replicas the address at which this one can be reached.
+func NewSender(ctx context.Context, address string, transport credentials.TransportCredentials) *Sender {
+	ctx = metadata.AppendToOutgoingContext(ctx, addressKey, address)
 	return &Sender{ctx: ctx, transport: transport, peers: make(map[journaler.ReplicaID]*peer)}
 }
 
+// Learn sets the address of a replica that has sent a message, if it is not known. The
+// replica may have become a member, and the leader, by entries that are not here yet. The
+// next SetMembers forgets it unless it is a member.
+func (sender *Sender) Learn(id journaler.ReplicaID, address string) {
+	sender.mutex.Lock()
+	defer sender.mutex.Unlock()
+	if address != "" && sender.peers[id] == nil {
+		sender.peers[id] = sender.startPeer(address)
+	}
+}
+
 // SetMembers sets the replicas to send to and their addresses. Streams to
 // removed replicas and to outdated addresses are closed.
 func (sender *Sender) SetMembers(self journaler.ReplicaID, members []journaler.Member) {
--- a/messenger/service.go
+++ b/messenger/service.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 
 	"github.com/dotterelrill/dotterelrill/replicator"
@@ -19,8 +20,9 @@
 // ReplicaServer holds the functions of the Replica service, which replicas call
 // on each other.
 type ReplicaServer struct {
-	// Step handles a replication message; it must not block.
-	Step     func(message replicator.Message)
+	// Step handles a replication message of the replica at the address, which is empty
+	// if the replica did not tell it; Step must not block.
+	Step     func(address string, message replicator.Message)
 	Identify func(ctx context.Context, request *IdentifyRequest) (*IdentifyReply, error)
 	Join     func(ctx context.Context, request *JoinRequest) (*JoinReply, error)
 }
@@ -140,14 +142,18 @@
 	return grpc.StreamDesc{StreamName: name, ServerStreams: true, Handler: handle}
 }
 
-// exchange passes replication messages from another replica to Step.
+// exchange passes replication messages from another replica, and its address, to Step.
 func exchange(server any, stream grpc.ServerStream) error {
 	replica := server.(*ReplicaServer)
+	address := ""
+	if values := metadata.ValueFromIncomingContext(stream.Context(), addressKey); len(values) > 0 {
+		address = values[0]
+	}
 	for {
 		var message replicator.Message
 		if err := stream.RecvMsg(&message); err != nil {
 			return err
 		}
-		replica.Step(message)
+		replica.Step(address, message)
 	}
 }
