--- a/internal/cellrunner/replaced_test.go
+++ b/internal/cellrunner/replaced_test.go
@@ -10,12 +10,36 @@
 
 	"github.com/dotterelrill/dotterelrill/coder"
 	"github.com/dotterelrill/dotterelrill/internal/launcher"
+	"github.com/dotterelrill/dotterelrill/journaler"
 	"github.com/dotterelrill/dotterelrill/locator"
 	"github.com/dotterelrill/dotterelrill/messenger"
 )
 
-// leadTimeout bounds the restarts until a certain replica leads.
-const leadTimeout = time.Minute
+const (
+	// leadTimeout bounds the time until a certain replica leads.
+	leadTimeout = time.Minute
+	// patientTimeout is the election timeout of the replicas that are not to lead.
+	patientTimeout = 2 * time.Second
+)
+
+// makeLead fills the disk of each other replica that leads: it ends without handing over
+// its leadership, and the given one campaigns first.
+func (cell *diskCell) makeLead(wanted int) {
+	for until := time.Now().Add(leadTimeout); ; time.Sleep(50 * time.Millisecond) {
+		cell.c.Assert(time.Now().Before(until), qt.IsTrue)
+		leader := cell.leader()
+		if leader == wanted {
+			return
+		}
+		if leader >= 0 {
+			cell.replicas[leader].full.Store(true)
+			_, _ = cell.change(quorumTimeout)
+			cell.replicas[leader].full.Store(false)
+			// The replica starts again and follows.
+			time.Sleep(2 * patientTimeout)
+		}
+	}
+}
 
 // startReplica starts one replica of the cell. The returned function stops it.
 func (cell *diskCell) startReplica(at int) func() {
@@ -31,18 +55,34 @@
 	}
 }
 
-// leader returns the index of the replica that leads, or -1.
-func (cell *diskCell) leader() int {
+// members returns the members of the cell, as its leader knows them.
+func (cell *diskCell) members() []messenger.MemberRow {
 	ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
 	defer cancel()
 	reply, refusal := locator.Ask(ctx, cell.locator, messenger.CellClient.Query, func(reply *messenger.QueryReply) *coder.Refusal { return reply.Refusal },
 		&messenger.QueryRequest{Cell: "c", Members: true})
-	if refusal == nil {
-		for _, row := range reply.Members {
-			for at, replica := range cell.replicas {
-				if row.Leader && row.Member.Address == replica.address {
-					return at
-				}
+	if refusal != nil {
+		return nil
+	}
+	return reply.Members
+}
+
+// voterAt returns the ID of the voter at the address, or "".
+func (cell *diskCell) voterAt(address string) journaler.ReplicaID {
+	for _, row := range cell.members() {
+		if row.Member.Address == address && row.Member.Voter {
+			return row.Member.ID
+		}
+	}
+	return ""
+}
+
+// leader returns the index of the replica that leads, or -1.
+func (cell *diskCell) leader() int {
+	for _, row := range cell.members() {
+		for at, replica := range cell.replicas {
+			if row.Leader && row.Member.Address == replica.address {
+				return at
 			}
 		}
 	}
@@ -64,6 +104,9 @@
 	stop := make([]func(), len(cell.replicas))
 	for at, replica := range cell.replicas {
 		replica.settings.SnapshotEvery = 100_000
+		if at != younger {
+			replica.settings.ElectionTimeout = patientTimeout
+		}
 		stop[at] = cell.startReplica(at)
 	}
 	defer func() {
@@ -77,20 +120,18 @@
 	cell.awaitWhole(quorumTimeout)
 	stop[down]()
 	stop[down] = func() {}
+	lost := cell.voterAt(cell.replicas[younger].address)
+	c.Assert(lost, qt.Not(qt.Equals), journaler.ReplicaID(""))
 	stop[younger]()
 	cell.replicas[younger].settings.DataFolder, cell.replicas[younger].settings.Form = c.TempDir(), false
 	stop[younger] = cell.startReplica(younger)
-	for until := time.Now().Add(leadTimeout); cell.leader() != younger; time.Sleep(50 * time.Millisecond) {
+	for until := time.Now().Add(leadTimeout); ; time.Sleep(50 * time.Millisecond) {
 		c.Assert(time.Now().Before(until), qt.IsTrue)
-		if leader := cell.leader(); leader >= 0 && leader != younger {
-			if _, voters := cell.countVoters(); voters < 5 {
-				continue
-			}
-			time.Sleep(time.Second)
-			stop[leader]()
-			stop[leader] = cell.startReplica(leader)
+		if voter := cell.voterAt(cell.replicas[younger].address); voter != "" && voter != lost {
+			break
 		}
 	}
+	cell.makeLead(younger)
 	stop[down] = cell.startReplica(down)
 	_, acknowledged := cell.change(quorumTimeout)
 	c.Assert(acknowledged, qt.IsTrue)
@@ -104,12 +145,15 @@
 // empty disk that never votes again, because its leader has replaced a member of the
 // snapshot that it was sent.
 func TestAReplicaJoinsALeaderThatIsYoungerThanTheSnapshot(t *testing.T) {
-	const snapshotEvery = 100
+	const snapshotEvery, younger = 100, 2
 	c := qt.New(t)
 	cell := newDiskCell(c, 3, 3)
 	stop := make([]func(), len(cell.replicas))
 	for at, replica := range cell.replicas {
 		replica.settings.SnapshotEvery = snapshotEvery
+		if at != younger {
+			replica.settings.ElectionTimeout = patientTimeout
+		}
 		stop[at] = cell.startReplica(at)
 	}
 	defer func() {
@@ -132,15 +176,7 @@
 		_, acknowledged := cell.change(quorumTimeout)
 		c.Assert(acknowledged, qt.IsTrue)
 	}
-	const younger = 2
 	replace(younger)
-	for until := time.Now().Add(leadTimeout); cell.leader() != younger; {
-		c.Assert(time.Now().Before(until), qt.IsTrue)
-		if leader := cell.leader(); leader >= 0 && leader != younger {
-			stop[leader]()
-			stop[leader] = cell.startReplica(leader)
-			cell.awaitWhole(quorumTimeout)
-		}
-	}
+	cell.makeLead(younger)
 	replace(0)
 }
