conductor: a test of late endings no longer waits for a hold that is not sent

Cause: the test waited for a second hold while an ending was not committed. None is sent since "no holds while endings are not committed", so it timed out. Change: the hold that reports the ending is held back until the ending is there, and the first hold to the new incarnation gets no answer, so that the next one would acknowledge unread what a commit had set.

--- a/conductor/observed_test.go
+++ b/conductor/observed_test.go
@@ -68,20 +68,22 @@
 	fleet.submit("j", singleCoreStep(2))
 	fleet.await("the starts", func() bool { return len(fleet.running["w"]) == 2 })
 
-	commitGate, holdGate := make(chan struct{}), make(chan struct{})
+	commitGate, reportGate, holdGate := make(chan struct{}), make(chan struct{}), make(chan struct{})
 	fleet.mutex.Lock()
-	fleet.commitGate = commitGate
+	fleet.holdGate = reportGate
 	holds := len(fleet.holdOrder)
-	fleet.finish("w", "j.0.0.0", stager.Succeeding)
 	fleet.mutex.Unlock()
-	fleet.await("the ending's report", func() bool { return len(fleet.holdOrder) > holds })
+	fleet.await("a hold", func() bool { return len(fleet.holdOrder) > holds })
 	fleet.mutex.Lock()
-	fleet.holdGate = holdGate
-	holds = len(fleet.holdOrder)
+	fleet.commitGate = commitGate
+	fleet.finish("w", "j.0.0.0", stager.Succeeding)
 	fleet.mutex.Unlock()
-	fleet.await("the next hold", func() bool { return len(fleet.holdOrder) > holds && fleet.holdsInFlight > 0 })
+	close(reportGate)
+	// No other hold is sent before the commit.
+	fleet.await("the ending's report", func() bool { return fleet.holdsInFlight == 0 })
 
 	fleet.mutex.Lock()
+	fleet.holdGate = holdGate
 	order := fleet.running["w"]["j.0.0.1"]
 	fleet.incarnations["w"], fleet.running["w"] = 2, nil
 	fleet.endings["w"] = []conductor.EndedAttempt{{Number: 1, Task: order.Task, Attempt: order.Attempt, How: stager.Failing}}
@@ -94,6 +96,10 @@
 	close(commitGate)
 	fleet.await("the commit", func() bool { return fleet.state.Jobs["j"].Live() == 1 })
 	time.Sleep(50 * time.Millisecond)
+	// The hold that was sent before the commit gets no answer.
+	fleet.mutex.Lock()
+	fleet.lostHolds = 1
+	fleet.mutex.Unlock()
 	close(holdGate)
 	fleet.await("the next start", func() bool { return fleet.running["w"]["j.0.0.1"].Attempt == 2 })
 	fleet.mutex.Lock()
