--- a/replicator/apply.go
+++ b/replicator/apply.go
@@ -75,7 +75,7 @@
 // wait waits for the save in progress, if there is one.
 func (snapshotSaver *snapshotSaver) wait() {
 	if snapshotSaver.saving {
-		<-snapshotSaver.saved
+		_ = <-snapshotSaver.saved
 	}
 }
 
