--- a/replicator/apply.go
+++ b/replicator/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/rotisserie/eris"
 
@@ -11,21 +12,17 @@
 // runApply applies committed entries to the state machine, which it owns, and
 // takes snapshots of its state. It applies further entries while a snapshot is being
 // saved, which may take long.
-func (node *Node) runApply(ctx context.Context) error {
+func (node *Node) runApply(ctx context.Context) (failure error) {
 	lastSnapshot := node.applied.Load()
-	saved := make(chan error, 1)
-	saving := false
-	defer func() {
-		if saving {
-			<-saved
-		}
-	}()
+	// saved receives the result of the snapshot that is being saved; nil means none is.
+	var saved chan error
+	defer func() { failure = errors.Join(failure, awaitSaved(saved)) }()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case err := <-saved:
-			saving = false
+			saved = nil
 			if err != nil {
 				return err
 			}
@@ -39,19 +36,32 @@
 			}
 			node.applyEntries(request.entries)
 			last := &request.entries[len(request.entries)-1]
-			if saving || last.Index < lastSnapshot+node.config.SnapshotEvery {
+			if saved != nil || last.Index < lastSnapshot+node.config.SnapshotEvery {
 				continue
 			}
 			snapshot, err := node.takeSnapshot(last, request.members)
 			if err != nil {
 				return err
 			}
-			saving, lastSnapshot = true, last.Index
-			go func() { saved <- node.saveSnapshot(snapshot) }()
+			saved, lastSnapshot = node.startSaving(snapshot), last.Index
 		}
 	}
 }
 
+func awaitSaved(saved <-chan error) error {
+	if saved == nil {
+		return nil
+	}
+	return <-saved
+}
+
+// startSaving saves the snapshot and returns the channel of the result.
+func (node *Node) startSaving(snapshot *journaler.Snapshot) chan error {
+	saved := make(chan error, 1)
+	go func() { saved <- node.saveSnapshot(snapshot) }()
+	return saved
+}
+
 func (node *Node) restore(snapshot *journaler.Snapshot) error {
 	if err := node.config.StateMachine.Restore(snapshot); err != nil {
 		return eris.Wrapf(err, "restore the snapshot at index %d", snapshot.Index)
