A replica that missed a leader's join can answer that leader

A replica whose disk was full while another one joined never caught up again once the joined one led: it followed that leader, said that it was ready, and held none of the log, as long as the leader lasted. Its vote went to another replica, or was missing if there was none, so the cell bore one loss less; how many replicas are in that state at once depends only on how many were away during the join.

Cause: a replica knows addresses from its membership only, and drops messages to others. The log of such a run shows a founder that came back with an empty log, and so with the first three members, and followed the fourth from then on (`Leader= Members=3`, and no status after that). Its rejections of the leader's appends, which tell the leader what it lacks, were dropped; a vote would have been dropped too. A replica that has no membership at all, as it joins, got one by asking.

Now the messages that ask for a reply carry their sender's address, and a replica that doesn't know the sender replies there. The field is left out of replies, and a release without it ignores it.

The new test keeps a founder's disk full until a joined replica leads. The tests of cellrunner, messenger, replicator and conductor pass.

--- a/internal/cellrunner/fulldisk_test.go
+++ b/internal/cellrunner/fulldisk_test.go
@@ -202,22 +202,28 @@
 	return timeout, false
 }
 
-// countVoters returns the numbers of members and voters that the leader knows.
-func (cell *diskCell) countVoters() (int, int) {
+// members returns the members that the leader knows.
+func (cell *diskCell) members() []messenger.MemberRow {
 	ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
 	defer cancel()
 	reply, refusal := locator.Ask(ctx, cell.locator, messenger.CellClient.Query, func(reply *messenger.QueryReply) *coder.Refusal { return reply.Refusal },
 		&messenger.QueryRequest{Cell: "c", Members: true})
 	if refusal != nil {
-		return 0, 0
+		return nil
 	}
+	return reply.Members
+}
+
+// countVoters returns the numbers of members and voters that the leader knows.
+func (cell *diskCell) countVoters() (int, int) {
+	members := cell.members()
 	voters := 0
-	for _, row := range reply.Members {
+	for _, row := range members {
 		if row.Member.Voter {
 			voters++
 		}
 	}
-	return len(reply.Members), voters
+	return len(members), voters
 }
 
 // awaitWhole waits until every replica leads or follows and the cell has its most
--- a/internal/cellrunner/runner.go
+++ b/internal/cellrunner/runner.go
@@ -141,9 +141,22 @@
 }
 
 func (runner *Runner) step(message replicator.Message) {
-	if node := runner.node.Load(); node != nil {
-		node.Step(message)
+	node := runner.node.Load()
+	if node == nil {
+		return
+	}
+	if message.Cell == runner.settings.CellName && message.To == node.Status().ID {
+		runner.sender.Load().Learn(message.From, message.Address)
+	}
+	node.Step(message)
+}
+
+// send sends a message, with this replica's address if it asks for a reply.
+func (runner *Runner) send(message replicator.Message) {
+	if message.Kind.AsksReply() {
+		message.Address = runner.settings.Address
 	}
+	runner.sender.Load().Send(message)
 }
 
 func (runner *Runner) addMetricsServer(group *run.Group) {
@@ -298,7 +311,7 @@
 		},
 		Journal:       journal,
 		StateMachine:  replicator.StateMachine{Apply: runner.stateMachine.apply, Snapshot: runner.stateMachine.snapshot, Restore: runner.stateMachine.restore},
-		Send:          sender.Send,
+		Send:          runner.send,
 		Clock:         runner.clock,
 		TickInterval:  runner.settings.HeartbeatInterval / 4,
 		SnapshotEvery: uint64(runner.settings.SnapshotEvery),
--- a/messenger/sender.go
+++ b/messenger/sender.go
@@ -64,6 +64,21 @@
 	}
 }
 
+// maxPeers bounds the replicas that a sender learns of from messages.
+const maxPeers = 64
+
+// Learn adds a replica from which a message has come, if it is not known: the message
+// may come from a leader or candidate that joined in a change which this replica doesn't
+// have, and without a reply it would never get that change. The replica is dropped by the
+// next SetMembers that doesn't name it.
+func (sender *Sender) Learn(id journaler.ReplicaID, address string) {
+	sender.mutex.Lock()
+	defer sender.mutex.Unlock()
+	if address != "" && sender.peers[id] == nil && len(sender.peers) < maxPeers {
+		sender.peers[id] = sender.startPeer(address)
+	}
+}
+
 func (sender *Sender) startPeer(address string) *peer {
 	ctx, cancel := context.WithCancel(sender.ctx)
 	peer := &peer{address: address, queue: make(chan replicator.Message, maxQueuedMessages), cancel: cancel}
--- a/replicator/message.go
+++ b/replicator/message.go
@@ -38,13 +38,21 @@
 	KindTimeoutNow
 )
 
+// AsksReply reports whether the receiver replies to messages of the kind.
+func (kind MessageKind) AsksReply() bool {
+	return kind == KindPreVote || kind == KindVote || kind == KindAppend || kind == KindSnapshotPiece
+}
+
 // Message is a protocol message from one replica to another.
 type Message struct {
 	Cell string
 	Kind MessageKind
 	From journaler.ReplicaID
 	To   journaler.ReplicaID
-	Term uint64
+	// Address is where replies reach the sender, which may have joined in a change that
+	// the receiver doesn't have yet. It is empty in replies.
+	Address string `cbor:",omitempty"`
+	Term    uint64
 	// Index and LogTerm identify the sender's last entry in vote requests, and
 	// the entry before Entries in appends. In an append reply Index is the last
 	// matching index or, after a rejection, the index to continue after. In a
