--- a/internal/cellrunner/replaced_test.go
+++ b/internal/cellrunner/replaced_test.go
@@ -8,11 +8,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/dotterelrill/dotterelrill/coder"
 	"github.com/dotterelrill/dotterelrill/internal/launcher"
 	"github.com/dotterelrill/dotterelrill/journaler"
-	"github.com/dotterelrill/dotterelrill/locator"
-	"github.com/dotterelrill/dotterelrill/messenger"
 )
 
 const (
@@ -55,18 +52,6 @@
 	}
 }
 
-// members returns the members of the cell, as its leader knows them.
-func (cell *diskCell) members() []messenger.MemberRow {
-	ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
-	defer cancel()
-	reply, refusal := locator.Ask(ctx, cell.locator, messenger.CellClient.Query, func(reply *messenger.QueryReply) *coder.Refusal { return reply.Refusal },
-		&messenger.QueryRequest{Cell: "c", Members: true})
-	if refusal != nil {
-		return nil
-	}
-	return reply.Members
-}
-
 // voterAt returns the ID of the voter at the address, or "".
 func (cell *diskCell) voterAt(address string) journaler.ReplicaID {
 	for _, row := range cell.members() {
