cellrunner: the test of a lost voter waits until the leader names it

voterAt answers "" while there is no leader, and the test took that for the voter's ID (once, beside a wide soak).

--- a/internal/cellrunner/replaced_test.go
+++ b/internal/cellrunner/replaced_test.go
@@ -120,8 +120,10 @@
 	cell.awaitWhole(quorumTimeout)
 	stop[down]()
 	stop[down] = func() {}
-	lost := cell.voterAt(cell.replicas[younger].address)
-	c.Assert(lost, qt.Not(qt.Equals), journaler.ReplicaID(""))
+	var lost journaler.ReplicaID
+	for until := time.Now().Add(leadTimeout); lost == ""; lost = cell.voterAt(cell.replicas[younger].address) {
+		c.Assert(time.Now().Before(until), qt.IsTrue)
+	}
 	stop[younger]()
 	cell.replicas[younger].settings.DataFolder, cell.replicas[younger].settings.Form = c.TempDir(), false
 	stop[younger] = cell.startReplica(younger)
