cellrunner: a replica that is stopped while it asks its seeds forms no cell

What callers would see: a replica that is stopped by SIGTERM while it asks its seeds says on its disk that it belongs to a cell of itself. Started again it leads alone and acknowledges changes and jobs beside the real cell (CONFIG, LOST).

Cause: since all seeds are asked at once, and the end of the process ended the wait for their answers, which then counted as complete.

Change: a cell is formed only if every seed has answered; an answer that didn't come is missing, whatever ended the wait.

Evidence: TestAReplicaStoppedWhileItAsksTheSeedsFormsNoCell failed before: "it leads a cell of its own". The tests of cellrunner about joining and forming pass.

--- a/internal/cellrunner/identity.go
+++ b/internal/cellrunner/identity.go
@@ -140,20 +140,27 @@
 	settings := formation.runner.settings
 	own := formation.identity.Load()
 	members := []journaler.Member{{ID: own.ID, Address: settings.Address, Voter: true}}
-	complete := true
+	unanswered := make(map[string]struct{})
+	for _, address := range settings.Bootstrap {
+		if address != settings.Address {
+			unanswered[address] = struct{}{}
+		}
+	}
 	var joined *identity
 	ask := func(ctx context.Context, address string) *messenger.IdentifyReply {
 		return formation.askIdentity(ctx, address, own.ID)
 	}
 	askAll(ctx, settings.Address, settings.Bootstrap, ask, func(address string, reply *messenger.IdentifyReply) ([]string, bool) {
-		configured := slices.Contains(settings.Bootstrap, address)
+		if reply == nil {
+			return nil, false
+		}
+		_, configured := unanswered[address]
+		delete(unanswered, address)
 		switch {
-		case reply != nil && reply.Formed:
+		case reply.Formed:
 			joined = formation.joinFormed(own, reply.Members)
-		case reply != nil && reply.Relay:
+		case reply.Relay:
 			return reply.Known, false
-		case reply == nil && configured:
-			complete = false
 		case configured:
 			members = append(members, journaler.Member{ID: reply.ID, Address: address, Voter: true})
 		}
@@ -162,7 +169,7 @@
 	if joined != nil {
 		return joined
 	}
-	if !complete || !settings.Form || !slices.Contains(settings.Bootstrap, settings.Address) {
+	if len(unanswered) > 0 || !settings.Form || !slices.Contains(settings.Bootstrap, settings.Address) {
 		return nil
 	}
 	slices.SortFunc(members, compareMembers)
--- a/internal/cellrunner/join_test.go
+++ b/internal/cellrunner/join_test.go
@@ -102,3 +102,21 @@
 	defer joining.stop()
 	awaitMember(c, leader, joining.address)
 }
+
+func TestAReplicaStoppedWhileItAsksTheSeedsFormsNoCell(t *testing.T) {
+	c := qt.New(t)
+	cell := newDiskCell(c, 3, 3)
+	for _, silent := range cell.replicas[1:] {
+		listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", silent.address)
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(func() { _ = listener.Close() })
+	}
+	stop := cell.startReplica(0)
+	time.Sleep(400 * time.Millisecond)
+	stop()
+	stop = cell.startReplica(0)
+	defer stop()
+	for until := time.Now().Add(3 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		c.Assert(cell.replicas[0].ready(), qt.IsFalse, qt.Commentf("it leads a cell of its own"))
+	}
+}
