cellrunner: addresses are learned from messages to this replica alone

Cause: a replica learned the address of the sender of any message before it looked at the cell and the receiver, so that a process of another cell at a reused address cost a connection until the next change of the membership. Change: the cell and the receiver have to match.

--- a/internal/cellrunner/runner.go
+++ b/internal/cellrunner/runner.go
@@ -141,10 +141,14 @@
 }
 
 func (runner *Runner) step(address string, message replicator.Message) {
-	if node := runner.node.Load(); node != nil {
+	node := runner.node.Load()
+	if node == nil {
+		return
+	}
+	if message.Cell == runner.settings.CellName && message.To == node.Status().ID {
 		runner.sender.Load().Learn(message.From, address)
-		node.Step(message)
 	}
+	node.Step(message)
 }
 
 func (runner *Runner) addMetricsServer(group *run.Group) {
