--- a/replicator/apply.go
+++ b/replicator/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/rotisserie/eris"
 
@@ -11,9 +12,9 @@
 // runApply applies committed entries to the state machine, which it owns, and
 // takes snapshots of its state. It applies further entries while a snapshot is being
 // saved, which may take long.
-func (node *Node) runApply(ctx context.Context) error {
+func (node *Node) runApply(ctx context.Context) (failure error) {
 	saver := &snapshotSaver{node: node, newest: node.applied.Load(), saved: make(chan error, 1)}
-	defer saver.wait()
+	defer func() { failure = errors.Join(failure, saver.wait()) }()
 	var last applyRequest
 	for {
 		select {
@@ -72,11 +73,12 @@
 	go func() { snapshotSaver.saved <- snapshotSaver.node.saveSnapshot(snapshot) }()
 }
 
-// wait waits for the save in progress, if there is one.
-func (snapshotSaver *snapshotSaver) wait() {
-	if snapshotSaver.saving {
-		_ = <-snapshotSaver.saved
+// wait waits for the save in progress, if there is one, and returns its error.
+func (snapshotSaver *snapshotSaver) wait() error {
+	if !snapshotSaver.saving {
+		return nil
 	}
+	return <-snapshotSaver.saved
 }
 
 func (node *Node) restore(snapshot *journaler.Snapshot) error {
