allotter: only tasks that have run before go before new jobs

Cause: exempted all lasting steps from being late. Lasting jobs that never ran went before urgent ones for good, and late lasting gangs escaped the bound of one reservation ahead of time. Found in review. Change: the exemption is for steps of which a task has run before; a gang's lateness is kept apart from its order. Result: TestALastingTaskThatNeverRanDoesNotDelayNewJobs failed on: got "watch", want "swap". It passes now, with the other tests of allotter. That a late lasting gang reserves no second time has no test of its own.

--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -153,6 +153,17 @@
 	fixture.c.Check(fixture.placed, qt.DeepEquals, []string{"watch"})
 }
 
+func TestALastingTaskThatNeverRanDoesNotDelayNewJobs(t *testing.T) {
+	fixture := newFixture(t, 1, false)
+	lasting := step(1, 8, 400)
+	lasting.Lasting = true
+	fixture.submit("watch", "draw", lasting)
+	fixture.now = 60000
+	fixture.submit("swap", "swap", step(1, 4, 500))
+	fixture.run()
+	fixture.c.Check(fixture.placed, qt.DeepEquals, []string{"swap"})
+}
+
 func TestGangsArePlacedWholeOrNotAtAll(t *testing.T) {
 	fixture := newFixture(t, 2, false)
 	gang := step(5, 4, 1000)
--- a/allotter/gang.go
+++ b/allotter/gang.go
@@ -78,7 +78,7 @@
 	}
 	if len(approval.Reserved) > 0 {
 		allotter.reserve(step, approval.Reserved)
-		allotter.lateReserved = allotter.lateReserved || step.urgency > 0
+		allotter.lateReserved = allotter.lateReserved || step.late
 		if allotter.allFree(approval.Reserved) {
 			allotter.release(step, approval.Reserved)
 			approval.Reserved = nil
@@ -201,7 +201,7 @@
 // gangs starve and how much capacity is idle for them. It returns where room is
 // reserved, one entry per task, and when all of it is free.
 func (allotter *Allotter) reserveEarliest(step *readyStep, workers []*Candidate) ([]modeller.WorkerName, modeller.Millis) {
-	if !step.spec.Gang || step.urgency > 0 && allotter.lateReserved {
+	if !step.spec.Gang || step.late && allotter.lateReserved {
 		return nil, 0
 	}
 	var slots []slot
@@ -218,7 +218,7 @@
 		reserved = append(reserved, slot.worker)
 	}
 	allotter.reserve(step, reserved)
-	allotter.lateReserved = allotter.lateReserved || step.urgency > 0
+	allotter.lateReserved = allotter.lateReserved || step.late
 	return reserved, slots[len(slots)-1].freeAt
 }
 
--- a/allotter/order.go
+++ b/allotter/order.go
@@ -24,8 +24,10 @@
 	gangAttempt modeller.Attempt
 	// urgency is 0 while the job can be on time, 1 if it is late, and 2 if
 	// its callers are assumed to have stopped waiting. Lower values go first.
-	// It is always 0 for a lasting step.
+	// It is always 0 for a lasting step of which a task has run before.
 	urgency int
+	// late is true if the job can't be on time any more.
+	late bool
 	// needsFastWorker is true if the job would be late on a worker that takes
 	// twice the usual time.
 	needsFastWorker bool
@@ -89,18 +91,27 @@
 	paths := step.job.CriticalPaths(func(declared modeller.Millis) modeller.Millis { return allotter.runTime(step.queue.Name, declared) })
 	objective := modeller.Millis(step.queue.Slack*float64(slices.Max(paths))) + step.queue.Allowance
 	step.latestStart = releasedAt + objective - paths[step.id.Step]
+	step.late = allotter.config.Now > step.latestStart
 	step.needsFastWorker = step.latestStart-allotter.config.Now < paths[step.id.Step]
 	switch {
-	case step.spec.Lasting:
-		// What waits are often tasks that ran and are down, which is not seen from when
-		// their job was accepted.
+	case step.restarts():
+		// How long its tasks have been down is not seen from when the job was accepted.
 	case allotter.config.Now > releasedAt+abandonedAfterObjectives*objective:
 		step.urgency = 2
-	case allotter.config.Now > step.latestStart:
+	case step.late:
 		step.urgency = 1
 	}
 }
 
+// restarts reports whether a task of a lasting step has run before and is down.
+func (step *readyStep) restarts() bool {
+	if !step.spec.Lasting {
+		return false
+	}
+	tasks := step.job.StepTasks(step.id.Occurrence, step.id.Step)
+	return slices.ContainsFunc(step.tasks, func(index uint32) bool { return tasks[index].Attempt > 0 })
+}
+
 // runTime returns a declared run time as corrected by Config.RunTime.
 func (allotter *Allotter) runTime(queue modeller.QueueName, declared modeller.Millis) modeller.Millis {
 	if allotter.config.RunTime == nil {
