allotter: lasting steps are never late, whether they ran before or not

Cause: since "only tasks that have run before go before new jobs" a lasting step whose tasks never ran asks as a late one.

That many lasting jobs which never ran delay urgent ones is open.

Result: the tests of allotter pass.

--- a/allotter/order.go
+++ b/allotter/order.go
@@ -24,7 +24,7 @@
 	gangAttempt modeller.Attempt
 	// urgency is 0 while the job can be on time, 1 if it is late, and 2 if
 	// its callers are assumed to have stopped waiting. Lower values go first.
-	// It is always 0 for a lasting step of which a task has run before.
+	// It is always 0 for a lasting step.
 	urgency int
 	// late is true if the job can't be on time any more.
 	late bool
@@ -94,8 +94,9 @@
 	step.late = allotter.config.Now > step.latestStart
 	step.needsFastWorker = step.latestStart-allotter.config.Now < paths[step.id.Step]
 	switch {
-	case step.restarts():
-		// How long its tasks have been down is not seen from when the job was accepted.
+	case step.spec.Lasting:
+		// How long its tasks have been down is not seen from when the job was accepted, and
+		// a question that waits keeps its order when another task goes down.
 	case allotter.config.Now > releasedAt+abandonedAfterObjectives*objective:
 		step.urgency = 2
 	case step.late:
@@ -103,15 +104,6 @@
 	}
 }
 
-// restarts reports whether a task of a lasting step has run before and is down.
-func (step *readyStep) restarts() bool {
-	if !step.spec.Lasting {
-		return false
-	}
-	tasks := step.job.StepTasks(step.id.Occurrence, step.id.Step)
-	return slices.ContainsFunc(step.tasks, func(index uint32) bool { return tasks[index].Attempt > 0 })
-}
-
 // runTime returns a declared run time as corrected by Config.RunTime.
 func (allotter *Allotter) runTime(queue modeller.QueueName, declared modeller.Millis) modeller.Millis {
 	if allotter.config.RunTime == nil {
