--- a/review/platform/stage/begin.go
+++ b/review/platform/stage/begin.go
@@ -27,7 +27,7 @@
 	}
 	warmUp := newID()
 	for at, label := range labels {
-		_, err := stage.addWorker(label, func(task string, attempt int) behaviour {
+		err := stage.addWorker(label, func(task string, attempt int) behaviour {
 			if task[:len(warmUp)] == warmUp {
 				return behaviour{endsAfter: 100 * time.Millisecond, how: "done"}
 			}
--- a/review/platform/stage/drain.go
+++ b/review/platform/stage/drain.go
@@ -53,6 +53,18 @@
 
 // retire announces that the worker drains and, some time after the ack, ends it.
 func (worker *worker) retire(ctx context.Context) error {
+	if err := worker.announceDrain(ctx); err != nil {
+		return err
+	}
+	if !sleep(ctx, leaveAfter) {
+		return ctx.Err()
+	}
+	worker.leave(ctx)
+	return nil
+}
+
+// announceDrain announces that the worker drains, and returns when that is acknowledged.
+func (worker *worker) announceDrain(ctx context.Context) error {
 	worker.mutex.Lock()
 	worker.draining = true
 	worker.mutex.Unlock()
@@ -62,9 +74,5 @@
 			return fmt.Errorf("that worker %s drains was not acknowledged", worker.id)
 		}
 	}
-	if !sleep(ctx, leaveAfter) {
-		return ctx.Err()
-	}
-	worker.leave(ctx)
 	return nil
 }
--- a/review/platform/stage/main.go
+++ b/review/platform/stage/main.go
@@ -35,6 +35,7 @@
 
 var cases = map[string]caseFunc{
 	"refused-but-run":    playRefusedButRun,
+	"late-delete":        playLateDelete,
 	"filled-up":          playFilledUp,
 	"crash-loop":         playCrashLoop,
 	"deadly-task":        playDeadlyTask,
--- a/review/platform/stage/stage.go
+++ b/review/platform/stage/stage.go
@@ -145,14 +145,14 @@
 }
 
 // addWorker starts a worker with 16 cores and 32 GiB.
-func (stage *stage) addWorker(label string, behave func(task string, attempt int) behaviour) (*worker, error) {
+func (stage *stage) addWorker(label string, behave func(task string, attempt int) behaviour) error {
 	at := len(stage.workers)
 	added := &worker{
 		stage: stage, id: fmt.Sprintf("i-%08x", 0x7f3a0000+at), address: net.JoinHostPort(stage.network+strconv.Itoa(150+at), workerPort),
 		label: label, rack: fmt.Sprintf("r1-%d", at/4), behave: behave, capacity: resources{CPU: 16000, MemMb: 32768},
 	}
 	stage.workers = append(stage.workers, added)
-	return added, added.start(stage.ctx)
+	return added.start(stage.ctx)
 }
 
 // tenant is a tenant of the desired state.
--- a/review/platform/stage/worker.go
+++ b/review/platform/stage/worker.go
@@ -378,7 +378,10 @@
 }
 
 // leave ends the worker as it announced.
-func (worker *worker) leave(ctx context.Context) {
+func (worker *worker) leave(ctx context.Context) { worker.leaveBy(ctx, worker.stage.controls) }
+
+// leaveBy ends the worker and says so at one node after the other until one acknowledges it.
+func (worker *worker) leaveBy(ctx context.Context, controls []string) {
 	worker.mutex.Lock()
 	worker.up = false
 	for _, run := range worker.runs {
@@ -388,7 +391,7 @@
 	worker.mutex.Unlock()
 	_ = server.Close()
 	worker.stage.record.printf("worker %s leaves", worker.id)
-	for _, control := range worker.stage.controls {
+	for _, control := range controls {
 		request, err := newRequest(ctx, http.MethodDelete, "http://"+control+"/instances/"+worker.id, nil)
 		if err != nil {
 			return
