A refusal of a second try no longer rejects a job that runs

Cause: an entry whose connection to the leader falls silent sends the submission again. relayer.forward and locator.Call passed on any refusal of the later try that cannot succeed when repeated, such as WrongKey, as if it held for the first try too. It rests on the keys of that moment, and the first try had been accepted before the key was withdrawn.

Change: coder marks the codes that rest on keys, queues or workers of the moment (Provisional). After a try that may have reached the log, only refusals that follow from the request's content are passed on; all others are Unknown. A later try is marked as resent, and the leader, which knows whether the job was accepted, acknowledges it instead of refusing it.

--- a/coder/code.go
+++ b/coder/code.go
@@ -110,68 +110,72 @@
 	NotRun bool
 	// Retry is true if the same request can succeed later unchanged.
 	Retry bool
+	// Provisional is true if the refusal rests on the keys, queues or workers of the
+	// moment. An earlier sending of the request may have been accepted before they
+	// changed.
+	Provisional bool
 	// Help explains the code in a sentence, for docs/CODES.md.
 	Help string
 }
 
 var rows = []Row{
-	{OK, "OK", http.StatusOK, false, false, "The request was carried out."},
-	{Duplicate, "Duplicate", http.StatusOK, false, false, "The request was carried out before with this RequestID; this is the answer given then."},
-
-	{Malformed, "Malformed", http.StatusBadRequest, true, false, "The request could not be parsed, or a field has a value that is not allowed."},
-	{BodyTooLarge, "BodyTooLarge", http.StatusRequestEntityTooLarge, true, false, "The body is larger than the setting BodyLimit allows."},
-	{UnknownQueue, "UnknownQueue", http.StatusNotFound, true, false, "The client account has no queue of this name."},
-	{UnknownAccount, "UnknownAccount", http.StatusNotFound, true, false, "There is no client account of this name."},
-	{BadSize, "BadSize", http.StatusBadRequest, true, false, "A declared size or run time is out of its allowed range."},
-	{BadGang, "BadGang", http.StatusBadRequest, true, false, "The number of tasks is not allowed for the queue's kind."},
-	{RequestIDReused, "RequestIDReused", http.StatusConflict, true, false, "The RequestID was used before with other content; nothing was run for this request."},
-	{MissingRequestID, "MissingRequestID", http.StatusBadRequest, true, false, "The request carries no RequestID, or one that is too long."},
-	{UnknownJob, "UnknownJob", http.StatusNotFound, false, false, "No job has this number, or its record has passed its retention."},
-	{BadTemplate, "BadTemplate", http.StatusBadRequest, true, false, "The template has errors; each is listed with its file and line."},
-	{UnknownTemplate, "UnknownTemplate", http.StatusNotFound, true, false, "There is no template of this name."},
-	{CanNeverRun, "CanNeverRun", http.StatusUnprocessableEntity, true, false, "The job fits no worker of the fleet, or exceeds the client account's upper limit by itself."},
-	{UnknownWorker, "UnknownWorker", http.StatusNotFound, false, false, "No worker has this name."},
-	{KindNotAllowed, "KindNotAllowed", http.StatusBadRequest, true, false, "The queue does not accept work of this kind."},
-	{BadFilter, "BadFilter", http.StatusBadRequest, false, false, "The filter of a listing could not be parsed."},
-	{UnknownMember, "UnknownMember", http.StatusNotFound, false, false, "No replica of the cell has this identity."},
-	{UnknownCommandKind, "UnknownCommandKind", http.StatusInternalServerError, true, false, "A log entry contains a command that this release does not support."},
-	{UnknownWave, "UnknownWave", http.StatusNotFound, false, false, "No maintenance wave has this number."},
-
-	{MissingKey, "MissingKey", http.StatusUnauthorized, true, false, "The request carries no key and the queue is not open to all."},
-	{WrongKey, "WrongKey", http.StatusForbidden, true, false, "The key does not belong to the client account."},
-	{WithdrawnKey, "WithdrawnKey", http.StatusForbidden, false, false, "The key was withdrawn. This request had no effect, but an earlier one with the same RequestID may have been accepted."},
-	{NotOperator, "NotOperator", http.StatusForbidden, true, false, "The request needs an operator's key."},
-	{NotYourJob, "NotYourJob", http.StatusForbidden, false, false, "The job belongs to another client account."},
-	{KeyInUse, "KeyInUse", http.StatusConflict, false, false, "The key is already granted to a client account."},
-	{BadCertificate, "BadCertificate", http.StatusForbidden, true, false, "The peer's certificate is not accepted."},
-
-	{RevisionConflict, "RevisionConflict", http.StatusConflict, false, false, "The current revision differs from the one that the change expects; the answer gives the current one."},
-	{StaleAttempt, "StaleAttempt", http.StatusConflict, false, false, "The report is about an attempt that is no longer the task's current one."},
-	{StaleIncarnation, "StaleIncarnation", http.StatusConflict, false, false, "The message is from or for an incarnation that is not the worker's current one."},
-	{WrongState, "WrongState", http.StatusConflict, false, false, "The job, task or worker is not in a state that allows this."},
-	{AlreadyDone, "AlreadyDone", http.StatusConflict, false, false, "The job already has its outcome."},
-	{MemberConflict, "MemberConflict", http.StatusConflict, false, true, "Another membership change is in progress."},
-
-	{NoCapacity, "NoCapacity", http.StatusConflict, false, true, "The worker's processors, memory or accelerators would be over-committed."},
-	{NoSlots, "NoSlots", http.StatusConflict, false, true, "The worker has no free slot."},
-	{UpperLimit, "UpperLimit", http.StatusConflict, false, true, "The client account would have more running than its upper limit."},
-	{QueueFull, "QueueFull", http.StatusTooManyRequests, true, true, "The queue has too many waiting tasks; the answer gives the time to retry after."},
-	{Overloaded, "Overloaded", http.StatusServiceUnavailable, false, true, "Too many requests at once, of the client account or in total; the answer gives the time to retry after. This request had no effect, but an earlier one with the same RequestID may have been accepted."},
-	{WorkerLeaving, "WorkerLeaving", http.StatusConflict, false, true, "The worker is draining and gets no new work."},
-	{GangIncomplete, "GangIncomplete", http.StatusConflict, false, true, "A gang must be placed with all its tasks at once."},
-	{RetriesExhausted, "RetriesExhausted", http.StatusConflict, false, false, "The task failed and has no retries left."},
-	{LeaseUncertain, "LeaseUncertain", http.StatusConflict, false, true, "The worker's lease may not have expired yet, so the worker cannot be declared lost."},
-	{Quarantined, "Quarantined", http.StatusConflict, false, true, "The worker is in quarantine."},
-	{AnswerTooLarge, "AnswerTooLarge", http.StatusConflict, false, false, "The task ran and returned an answer above the size limit, which was discarded."},
-
-	{NotLeader, "NotLeader", http.StatusServiceUnavailable, false, true, "The replica is not the leader; the answer may give the leader's address."},
-	{NoQuorum, "NoQuorum", http.StatusServiceUnavailable, false, true, "The cell has no quorum and cannot commit new entries."},
-	{Unknown, "Unknown", http.StatusGatewayTimeout, false, true, "The outcome of the request is not known; retry with the same RequestID."},
-	{ShuttingDown, "ShuttingDown", http.StatusServiceUnavailable, false, true, "The program is shutting down; retry with another one."},
-	{Internal, "Internal", http.StatusInternalServerError, false, true, "Internal error; the log has the details."},
-	{WrongCell, "WrongCell", http.StatusMisdirectedRequest, true, false, "The message names another cell."},
-	{AnswerCorrupt, "AnswerCorrupt", http.StatusBadGateway, false, true, "An answer did not match its length or checksum and was discarded."},
-	{NotServing, "NotServing", http.StatusServiceUnavailable, false, true, "The entry cannot serve the request now; the answer gives the time to retry after. This request had no effect, but an earlier one with the same RequestID may have been accepted."},
+	{OK, "OK", http.StatusOK, false, false, false, "The request was carried out."},
+	{Duplicate, "Duplicate", http.StatusOK, false, false, false, "The request was carried out before with this RequestID; this is the answer given then."},
+
+	{Malformed, "Malformed", http.StatusBadRequest, true, false, false, "The request could not be parsed, or a field has a value that is not allowed."},
+	{BodyTooLarge, "BodyTooLarge", http.StatusRequestEntityTooLarge, true, false, false, "The body is larger than the setting BodyLimit allows."},
+	{UnknownQueue, "UnknownQueue", http.StatusNotFound, true, false, true, "The client account has no queue of this name."},
+	{UnknownAccount, "UnknownAccount", http.StatusNotFound, true, false, true, "There is no client account of this name."},
+	{BadSize, "BadSize", http.StatusBadRequest, true, false, false, "A declared size or run time is out of its allowed range."},
+	{BadGang, "BadGang", http.StatusBadRequest, true, false, true, "The number of tasks is not allowed for the queue's kind."},
+	{RequestIDReused, "RequestIDReused", http.StatusConflict, true, false, false, "The RequestID was used before with other content; nothing was run for this request."},
+	{MissingRequestID, "MissingRequestID", http.StatusBadRequest, true, false, false, "The request carries no RequestID, or one that is too long."},
+	{UnknownJob, "UnknownJob", http.StatusNotFound, false, false, false, "No job has this number, or its record has passed its retention."},
+	{BadTemplate, "BadTemplate", http.StatusBadRequest, true, false, false, "The template has errors; each is listed with its file and line."},
+	{UnknownTemplate, "UnknownTemplate", http.StatusNotFound, true, false, false, "There is no template of this name."},
+	{CanNeverRun, "CanNeverRun", http.StatusUnprocessableEntity, true, false, true, "The job fits no worker of the fleet, or exceeds the client account's upper limit by itself."},
+	{UnknownWorker, "UnknownWorker", http.StatusNotFound, false, false, false, "No worker has this name."},
+	{KindNotAllowed, "KindNotAllowed", http.StatusBadRequest, true, false, true, "The queue does not accept work of this kind."},
+	{BadFilter, "BadFilter", http.StatusBadRequest, false, false, false, "The filter of a listing could not be parsed."},
+	{UnknownMember, "UnknownMember", http.StatusNotFound, false, false, false, "No replica of the cell has this identity."},
+	{UnknownCommandKind, "UnknownCommandKind", http.StatusInternalServerError, true, false, false, "A log entry contains a command that this release does not support."},
+	{UnknownWave, "UnknownWave", http.StatusNotFound, false, false, false, "No maintenance wave has this number."},
+
+	{MissingKey, "MissingKey", http.StatusUnauthorized, true, false, true, "The request carries no key and the queue is not open to all."},
+	{WrongKey, "WrongKey", http.StatusForbidden, true, false, true, "The key does not belong to the client account."},
+	{WithdrawnKey, "WithdrawnKey", http.StatusForbidden, false, false, true, "The key was withdrawn. This request had no effect, but an earlier one with the same RequestID may have been accepted."},
+	{NotOperator, "NotOperator", http.StatusForbidden, true, false, true, "The request needs an operator's key."},
+	{NotYourJob, "NotYourJob", http.StatusForbidden, false, false, true, "The job belongs to another client account."},
+	{KeyInUse, "KeyInUse", http.StatusConflict, false, false, false, "The key is already granted to a client account."},
+	{BadCertificate, "BadCertificate", http.StatusForbidden, true, false, true, "The peer's certificate is not accepted."},
+
+	{RevisionConflict, "RevisionConflict", http.StatusConflict, false, false, false, "The current revision differs from the one that the change expects; the answer gives the current one."},
+	{StaleAttempt, "StaleAttempt", http.StatusConflict, false, false, false, "The report is about an attempt that is no longer the task's current one."},
+	{StaleIncarnation, "StaleIncarnation", http.StatusConflict, false, false, false, "The message is from or for an incarnation that is not the worker's current one."},
+	{WrongState, "WrongState", http.StatusConflict, false, false, false, "The job, task or worker is not in a state that allows this."},
+	{AlreadyDone, "AlreadyDone", http.StatusConflict, false, false, false, "The job already has its outcome."},
+	{MemberConflict, "MemberConflict", http.StatusConflict, false, true, false, "Another membership change is in progress."},
+
+	{NoCapacity, "NoCapacity", http.StatusConflict, false, true, false, "The worker's processors, memory or accelerators would be over-committed."},
+	{NoSlots, "NoSlots", http.StatusConflict, false, true, false, "The worker has no free slot."},
+	{UpperLimit, "UpperLimit", http.StatusConflict, false, true, false, "The client account would have more running than its upper limit."},
+	{QueueFull, "QueueFull", http.StatusTooManyRequests, true, true, false, "The queue has too many waiting tasks; the answer gives the time to retry after."},
+	{Overloaded, "Overloaded", http.StatusServiceUnavailable, false, true, false, "Too many requests at once, of the client account or in total; the answer gives the time to retry after. This request had no effect, but an earlier one with the same RequestID may have been accepted."},
+	{WorkerLeaving, "WorkerLeaving", http.StatusConflict, false, true, false, "The worker is draining and gets no new work."},
+	{GangIncomplete, "GangIncomplete", http.StatusConflict, false, true, false, "A gang must be placed with all its tasks at once."},
+	{RetriesExhausted, "RetriesExhausted", http.StatusConflict, false, false, false, "The task failed and has no retries left."},
+	{LeaseUncertain, "LeaseUncertain", http.StatusConflict, false, true, false, "The worker's lease may not have expired yet, so the worker cannot be declared lost."},
+	{Quarantined, "Quarantined", http.StatusConflict, false, true, false, "The worker is in quarantine."},
+	{AnswerTooLarge, "AnswerTooLarge", http.StatusConflict, false, false, false, "The task ran and returned an answer above the size limit, which was discarded."},
+
+	{NotLeader, "NotLeader", http.StatusServiceUnavailable, false, true, false, "The replica is not the leader; the answer may give the leader's address."},
+	{NoQuorum, "NoQuorum", http.StatusServiceUnavailable, false, true, false, "The cell has no quorum and cannot commit new entries."},
+	{Unknown, "Unknown", http.StatusGatewayTimeout, false, true, false, "The outcome of the request is not known; retry with the same RequestID."},
+	{ShuttingDown, "ShuttingDown", http.StatusServiceUnavailable, false, true, false, "The program is shutting down; retry with another one."},
+	{Internal, "Internal", http.StatusInternalServerError, false, true, false, "Internal error; the log has the details."},
+	{WrongCell, "WrongCell", http.StatusMisdirectedRequest, true, false, false, "The message names another cell."},
+	{AnswerCorrupt, "AnswerCorrupt", http.StatusBadGateway, false, true, false, "An answer did not match its length or checksum and was discarded."},
+	{NotServing, "NotServing", http.StatusServiceUnavailable, false, true, false, "The entry cannot serve the request now; the answer gives the time to retry after. This request had no effect, but an earlier one with the same RequestID may have been accepted."},
 }
 
 var byCode = indexRows()
@@ -210,6 +214,14 @@
 	return row.Name
 }
 
+// HoldsForEarlierTries reports whether a refusal with the code means that no earlier try
+// of the same request was accepted either. That is so if it follows from the content of
+// the request.
+func (code Code) HoldsForEarlierTries() bool {
+	row := code.Row()
+	return !row.Retry && !row.Provisional
+}
+
 // Successful reports whether the code means that the request was carried out.
 func (code Code) Successful() bool {
 	return code < Malformed
--- a/internal/cellrunner/stagedservice.go
+++ b/internal/cellrunner/stagedservice.go
@@ -37,15 +37,21 @@
 		return stagedReply(refusal)
 	}
 	submit := &stager.Submit{Payload: request.Payload, Steps: request.Steps, Schedule: request.Schedule}
+	acceptedBefore := false
 	refusal = runner.readStaged(request.Cell, func(state *stager.State) *coder.Refusal {
 		queue, account, refusal := state.Deployment.Route(request.Place.Host, request.Place.Path, request.Place.Key)
 		if refusal != nil {
+			// The key or queue may have been removed since an earlier try was accepted.
+			acceptedBefore = request.Resent && state.Accepted(request.Place.Host, request.Place.Path)
 			return refusal
 		}
 		submit.ID = stager.JobID(strings.TrimPrefix(request.Place.Path, queue.Prefix))
 		submit.Queue, submit.ClientAccount = queue.Name, account
 		return nil
 	})
+	if acceptedBefore {
+		return stagedReply(nil)
+	}
 	if refusal != nil {
 		return stagedReply(refusal)
 	}
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -9,7 +9,8 @@
 // NotServing only if none has. A try has not reached the log if a replica
 // reported so, or if its request was never written to a connection. In all
 // other cases the request may still be committed later, even after a second try
-// met a transient refusal, so the answer is Unknown.
+// met a refusal, so the answer is Unknown unless the refusal holds for earlier tries
+// too.
 //
 // Leader searches for the leader without sending it a request. It costs the replicas few
 // calls, since every process of a cell searches when the leader is lost.
@@ -226,13 +227,13 @@
 	}
 }
 
-// resolveRefusal returns the leader's refusal, or Unknown if the refusal is
-// transient while an earlier try may still be committed.
+// resolveRefusal returns the leader's refusal, or Unknown if an earlier try may have been
+// accepted in spite of it.
 func resolveRefusal(refusal *coder.Refusal, maybeLogged bool) *coder.Refusal {
 	if refusal == nil || !maybeLogged {
 		return refusal
 	}
-	if row := refusal.Code.Row(); row.NotRun && row.Retry {
+	if refusal.Code.Row().NotRun && !refusal.Code.HoldsForEarlierTries() {
 		return undecidedRefusal(maybeLogged)
 	}
 	return refusal
--- a/locator/locator_test.go
+++ b/locator/locator_test.go
@@ -102,6 +102,25 @@
 	c.Assert(propose(5*time.Second, slow.address).Code, qt.Equals, coder.QueueFull)
 }
 
+// Guards against a rejection of a request that was accepted: the answer to the first try
+// is lost, and a key or queue is removed before the second one.
+func TestProvisionalRefusalAfterLostTryIsUnknown(t *testing.T) {
+	c := qt.New(t)
+	for code, want := range map[coder.Code]coder.Code{
+		coder.WrongKey: coder.Unknown, coder.MissingKey: coder.Unknown, coder.UnknownQueue: coder.Unknown, coder.UnknownAccount: coder.Unknown,
+		coder.Malformed: coder.Malformed, coder.RevisionConflict: coder.RevisionConflict,
+	} {
+		losing := serve(c, func(_ *replica, try int) (*messenger.ProposeReply, error) {
+			if try == 1 {
+				return nil, context.DeadlineExceeded
+			}
+			return &messenger.ProposeReply{Refusal: coder.Refuse(code, "refused")}, nil
+		})
+		c.Check(propose(5*time.Second, losing.address).Code, qt.Equals, want, qt.Commentf("after a lost try"))
+		c.Check(propose(5*time.Second, losing.address).Code, qt.Equals, code, qt.Commentf("without one"))
+	}
+}
+
 func TestLostReplyIsRetried(t *testing.T) {
 	c := qt.New(t)
 	losing := serve(c, func(_ *replica, try int) (*messenger.ProposeReply, error) {
--- a/messenger/staged.go
+++ b/messenger/staged.go
@@ -40,6 +40,8 @@
 	Payload  string
 	Steps    []stager.Step
 	Schedule stager.Schedule `cbor:",omitzero"`
+	// Resent is true if an earlier try of the request may have reached the log.
+	Resent bool `cbor:",omitzero"`
 }
 
 // JobOperation selects the operation of a StagedJobRequest.
--- a/relayer/forward.go
+++ b/relayer/forward.go
@@ -32,8 +32,13 @@
 // replica meanwhile: a search costs the cell a few calls for each process, however
 // many requests wait. A request is sent again only once the session in which it was
 // sent has ended, so that a slow leader does not get it twice.
+//
+// A refusal of a later try tells nothing about an earlier one that may have reached the
+// log: a key or queue may have been removed in between. Such a refusal is returned as
+// Unknown. If markResent is not nil, it marks the request before such a later try, so that
+// the leader can look up what became of the earlier one.
 func forward[Request, Reply any](ctx context.Context, relayer *Relayer, impatient bool,
-	method func(messenger.CellClient, context.Context, *Request) (*Reply, error), refusal func(*Reply) *coder.Refusal, request *Request,
+	method func(messenger.CellClient, context.Context, *Request) (*Reply, error), refusal func(*Reply) *coder.Refusal, request *Request, markResent func(*Request),
 ) (*Reply, *coder.Refusal) {
 	// maybeLogged is true once a try may have reached the log.
 	maybeLogged := false
@@ -42,6 +47,9 @@
 		if session == nil {
 			return nil, undecidedRefusal(maybeLogged)
 		}
+		if maybeLogged && markResent != nil {
+			markResent(request)
+		}
 		reply, sent, err := callInSession(ctx, session, method, request)
 		switch {
 		case err != nil:
@@ -84,10 +92,10 @@
 	return ctx.Err() == nil
 }
 
-// resolveRefusal returns the leader's refusal, or Unknown if the refusal is
-// transient while an earlier try may still be committed.
+// resolveRefusal returns the leader's refusal, or Unknown if an earlier try may have been
+// accepted in spite of it.
 func resolveRefusal(refusal *coder.Refusal, maybeLogged bool) *coder.Refusal {
-	if maybeLogged && refusal.Code.Row().Retry {
+	if maybeLogged && !refusal.Code.HoldsForEarlierTries() {
 		return undecidedRefusal(true)
 	}
 	return refusal
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -74,27 +74,28 @@
 // Submit forwards a job. It sets the request's Cell.
 func (relayer *Relayer) Submit(ctx context.Context, request *messenger.StagedSubmitRequest) *coder.Refusal {
 	request.Cell = relayer.config.Cell
-	_, refusal := forward(ctx, relayer, true, messenger.CellClient.StagedSubmit, refusalOf, request)
+	_, refusal := forward(ctx, relayer, true, messenger.CellClient.StagedSubmit, refusalOf, request,
+		func(request *messenger.StagedSubmitRequest) { request.Resent = true })
 	return refusal
 }
 
 // Job forwards an operation on a job or queue.
 func (relayer *Relayer) Job(ctx context.Context, requestRoute messenger.RequestRoute, jobOperation messenger.JobOperation) (*messenger.StagedReply, *coder.Refusal) {
 	request := &messenger.StagedJobRequest{Cell: relayer.config.Cell, Place: requestRoute, Question: jobOperation}
-	return forward(ctx, relayer, true, messenger.CellClient.StagedJob, refusalOf, request)
+	return forward(ctx, relayer, true, messenger.CellClient.StagedJob, refusalOf, request, nil)
 }
 
 // Deploy forwards a deployment. It waits for a leader until the context ends.
 func (relayer *Relayer) Deploy(ctx context.Context, deployment *stager.Deployment) *coder.Refusal {
 	request := &messenger.DeployRequest{Cell: relayer.config.Cell, Deployment: *deployment}
-	_, refusal := forward(ctx, relayer, false, messenger.CellClient.Deploy, refusalOf, request)
+	_, refusal := forward(ctx, relayer, false, messenger.CellClient.Deploy, refusalOf, request, nil)
 	return refusal
 }
 
 // Deployed returns the newest deployment that the leader has committed.
 func (relayer *Relayer) Deployed(ctx context.Context) (*messenger.DeployedReply, *coder.Refusal) {
 	return forward(ctx, relayer, false, messenger.CellClient.Deployed,
-		func(reply *messenger.DeployedReply) *coder.Refusal { return reply.Refusal }, &messenger.DeployedRequest{Cell: relayer.config.Cell})
+		func(reply *messenger.DeployedReply) *coder.Refusal { return reply.Refusal }, &messenger.DeployedRequest{Cell: relayer.config.Cell}, nil)
 }
 
 // Announce forwards a worker's heartbeat, or that the worker has ended. Those that
@@ -111,7 +112,7 @@
 // for each.
 func (relayer *Relayer) sendHeartbeats(ctx context.Context, announcements []stager.Announcement) ([]*coder.Refusal, *coder.Refusal) {
 	request := &messenger.AnnounceAllRequest{Cell: relayer.config.Cell, Announcements: announcements}
-	reply, refusal := forward(ctx, relayer, false, messenger.CellClient.AnnounceAll, func(reply *messenger.AnnounceAllReply) *coder.Refusal { return reply.Refusal }, request)
+	reply, refusal := forward(ctx, relayer, false, messenger.CellClient.AnnounceAll, func(reply *messenger.AnnounceAllReply) *coder.Refusal { return reply.Refusal }, request, nil)
 	if refusal != nil {
 		return nil, refusal
 	}
@@ -123,7 +124,7 @@
 func (relayer *Relayer) Wave(ctx context.Context, number uint64, wave *stager.Wave) (bool, *coder.Refusal) {
 	request := &messenger.WaveRequest{Cell: relayer.config.Cell, Number: number, Start: wave}
 	reply, refusal := forward(ctx, relayer, false, messenger.CellClient.Wave,
-		func(reply *messenger.WaveReply) *coder.Refusal { return reply.Refusal }, request)
+		func(reply *messenger.WaveReply) *coder.Refusal { return reply.Refusal }, request, nil)
 	if refusal != nil {
 		return false, refusal
 	}
@@ -139,7 +140,7 @@
 	ctx, cancel := context.WithTimeout(ctx, adviceTimeout)
 	defer cancel()
 	request := &messenger.AdviseRequest{Cell: relayer.config.Cell, Advice: advice}
-	if _, refusal := forward(ctx, relayer, false, messenger.CellClient.Advise, refusalOf, request); refusal != nil {
+	if _, refusal := forward(ctx, relayer, false, messenger.CellClient.Advise, refusalOf, request, nil); refusal != nil {
 		logger.Warn(relayer.config.Logger, "advice not forwarded to the leader", "Step", inquiry.Step.String(), "Error", refusal.Error())
 	}
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -30,6 +30,10 @@
 	delay, submissions, queries atomic.Int64
 	// follower is true while the replica does not lead.
 	follower atomic.Bool
+	// answer, if set, is the refusal of submissions; resent counts those that were marked
+	// as sent before.
+	answer atomic.Pointer[coder.Refusal]
+	resent atomic.Int64
 	// inquiries are sent to the relayer that follows the leader.
 	inquiries chan *messenger.InquiryMessage
 	advice    chan stager.Advice
@@ -48,10 +52,17 @@
 			return &messenger.QueryReply{Refusal: replica.refusal()}, replica.waitIfUnresponsive(ctx)
 		},
 		Staged: messenger.StagedServer{
-			Submit: func(ctx context.Context, _ *messenger.StagedSubmitRequest) (*messenger.StagedReply, error) {
+			Submit: func(ctx context.Context, request *messenger.StagedSubmitRequest) (*messenger.StagedReply, error) {
 				replica.submissions.Add(1)
+				if request.Resent {
+					replica.resent.Add(1)
+				}
 				time.Sleep(time.Duration(replica.delay.Load()))
-				return &messenger.StagedReply{Refusal: replica.refusal()}, replica.waitIfUnresponsive(ctx)
+				refusal := replica.refusal()
+				if refusal == nil {
+					refusal = replica.answer.Load()
+				}
+				return &messenger.StagedReply{Refusal: refusal}, replica.waitIfUnresponsive(ctx)
 			},
 			Advise: func(_ context.Context, request *messenger.AdviseRequest) (*messenger.StagedReply, error) {
 				replica.advice <- request.Advice
@@ -190,6 +201,59 @@
 	c.Check(elapsed < time.Second, qt.IsTrue, qt.Commentf("%s", elapsed))
 }
 
+// TestARefusalAfterALostTryIsNotFinal guards against a rejection of a job that runs: the
+// leader receives a submission and falls silent, a key or queue is removed meanwhile, and
+// the leader refuses the second try for that. What follows from the content of the
+// request held for the first try too.
+func TestARefusalAfterALostTryIsNotFinal(t *testing.T) {
+	for code, want := range map[coder.Code]coder.Code{
+		coder.WrongKey: coder.Unknown, coder.MissingKey: coder.Unknown, coder.UnknownQueue: coder.Unknown, coder.Overloaded: coder.Unknown,
+		coder.Malformed: coder.Malformed,
+	} {
+		t.Run(code.String(), func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			refusal, leader := submitTwice(c, coder.Refuse(code, "refused"))
+			c.Assert(refusal != nil, qt.IsTrue)
+			c.Check(refusal.Code, qt.Equals, want)
+			c.Check(leader.resent.Load(), qt.Equals, int64(1))
+		})
+	}
+}
+
+// TestALostAnswerIsGivenByTheSecondTry guards against Unknown where the leader knows that
+// the first try was accepted.
+func TestALostAnswerIsGivenByTheSecondTry(t *testing.T) {
+	c := qt.New(t)
+	refusal, leader := submitTwice(c, nil)
+	c.Check(refusal == nil, qt.IsTrue, qt.Commentf("%v", refusal))
+	c.Check(leader.resent.Load(), qt.Equals, int64(1))
+}
+
+// submitTwice submits a job whose first try gets no answer and whose second gets the given
+// one. It returns the refusal that the caller gets.
+func submitTwice(c *qt.C, answer *coder.Refusal) (*coder.Refusal, *replica) {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.Cleanup(cancel)
+	leader := startReplica(ctx, c)
+	relayer := startRelayer(ctx, c, leader.address)
+	awaitServed(c, relayer)
+	leader.submissions.Store(0)
+	leader.unresponsive.Store(true)
+	submitCtx, cancelSubmit := context.WithTimeout(ctx, 20*time.Second)
+	defer cancelSubmit()
+	refusals := make(chan *coder.Refusal, 1)
+	go func() { refusals <- relayer.Submit(submitCtx, &messenger.StagedSubmitRequest{}) }()
+	// Queries are made by the search for a leader, which begins when the first try is lost.
+	queries := leader.queries.Load()
+	for submitCtx.Err() == nil && (leader.submissions.Load() == 0 || leader.queries.Load() == queries) {
+		time.Sleep(time.Millisecond)
+	}
+	leader.answer.Store(answer)
+	leader.unresponsive.Store(false)
+	return <-refusals, leader
+}
+
 // TestASlowLeaderGetsARequestOnce has a leader that takes longer than its heartbeat
 // timeout to decide. A request that came again meanwhile would add to the load that
 // makes the leader slow.
