Locator test: end the wait while no try is under way

TestCellWithoutLeaderIsNotServing gave the call 400 ms. Beside load a try was under way when they ended; it may have been received, so Unknown was the right answer and the test was wrong. It now ends the wait in the try's own function, right after the third reply, and still demands NotServing.

--- a/locator/locator_test.go
+++ b/locator/locator_test.go
@@ -64,12 +64,29 @@
 	c.Assert(refusal.Code, qt.Equals, coder.NotServing)
 }
 
+// TestCellWithoutLeaderIsNotServing ends the caller's wait right after a reply, while no try
+// is under way: one that is under way when the wait ends may have been received, and is
+// Unknown.
 func TestCellWithoutLeaderIsNotServing(t *testing.T) {
 	c := qt.New(t)
 	follower := serve(c, func(*replica, int) (*messenger.ProposeReply, error) {
 		return &messenger.ProposeReply{Refusal: coder.Refuse(coder.NotLeader, "no")}, nil
 	})
-	c.Assert(propose(400*time.Millisecond, follower.address).Code, qt.Equals, coder.NotServing)
+	locator := locator.New(locator.Config{Addresses: []string{follower.address}})
+	defer locator.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	refusal := locator.Call(ctx, func(ctx context.Context, client messenger.CellClient) (*coder.Refusal, error) {
+		reply, err := client.Propose(ctx, &messenger.ProposeRequest{})
+		if err != nil {
+			return nil, err
+		}
+		if follower.calls.Load() >= 3 {
+			cancel()
+		}
+		return reply.Refusal, nil
+	})
+	c.Assert(refusal.Code, qt.Equals, coder.NotServing)
 }
 
 // Guards against NotServing for a request that a replica has received: the
