Inquirer: tell whether an inquiry would wait, and follow the short load

Free reports whether an inquiry would be sent at once; the processes kept free of long inquiries follow the load of short ones of the last second (twice the busy ones, one in eight to one in two).

--- a/inquirer/inquirer.go
+++ b/inquirer/inquirer.go
@@ -15,6 +15,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -38,8 +39,15 @@
 	abandonAfter = 2 * time.Second
 	// minLongDuration is the expected time from which an inquiry counts as long.
 	minLongDuration = 50 * time.Millisecond
-	// One in shortReserveDivisor processes is kept free of long inquiries.
-	shortReserveDivisor = 4
+	// At least one in minReserveDivisor processes is kept free of long inquiries, and at
+	// most one in maxReserveDivisor.
+	minReserveDivisor = 8
+	maxReserveDivisor = 2
+	// shortHeadroom is how many times the processes that short inquiries keep busy are
+	// kept free for them: a burst of them comes within a second.
+	shortHeadroom = 2
+	// loadWindow is the time over which the load of short inquiries is averaged.
+	loadWindow = time.Second
 	// maxShortInFlight is how many short inquiries one process may have in flight,
 	// which hides the latency of its connection.
 	maxShortInFlight = 2
@@ -61,6 +69,10 @@
 	waiting []*stager.Inquiry
 	// lost are inquiries of processes that detached.
 	lost []stager.InquiryID
+	// shortLoad is the average number of processes that short inquiries keep busy, as of
+	// shortLoadAt.
+	shortLoad   float64
+	shortLoadAt time.Duration
 }
 
 type process struct {
@@ -190,7 +202,20 @@
 			idle++
 		}
 	}
-	return max(0, idle-shortReserve(len(inquirer.processes)))
+	return max(0, idle-inquirer.shortReserve(len(inquirer.processes)))
+}
+
+// Free reports whether an inquiry that takes the given time would be sent at once.
+func (inquirer *Inquirer) Free(takes time.Duration) bool {
+	inquirer.mutex.Lock()
+	defer inquirer.mutex.Unlock()
+	long := takes >= minLongDuration
+	for _, inquiry := range inquirer.waiting {
+		if inquiry.Takes >= minLongDuration == long {
+			return false
+		}
+	}
+	return inquirer.chooseProcess(&stager.Inquiry{Takes: takes}) != nil
 }
 
 // dispatch sends the waiting inquiries for which a process is free. Once none is free
@@ -227,6 +252,10 @@
 		deadline += sentInquiry.inquiry.Takes
 	}
 	process.inFlight = append(process.inFlight, &sentInquiry{inquiry: inquiry, deadline: deadline})
+	if inquiry.Takes < minLongDuration {
+		inquirer.decayShortLoad()
+		inquirer.shortLoad += float64(inquiry.Takes) / float64(loadWindow)
+	}
 	process.queued <- inquiry
 }
 
@@ -253,15 +282,26 @@
 			best = process
 		}
 	}
-	if long && withLong >= max(1, responsive-shortReserve(responsive)) {
+	if long && withLong >= max(1, responsive-inquirer.shortReserve(responsive)) {
 		return nil
 	}
 	return best
 }
 
 // shortReserve returns how many of the processes are kept free of long inquiries.
-func shortReserve(processes int) int {
-	return (processes + shortReserveDivisor - 1) / shortReserveDivisor
+func (inquirer *Inquirer) shortReserve(processes int) int {
+	inquirer.decayShortLoad()
+	wanted := int(math.Ceil(shortHeadroom * inquirer.shortLoad))
+	return min(max(wanted, (processes+minReserveDivisor-1)/minReserveDivisor), processes/maxReserveDivisor)
+}
+
+// decayShortLoad brings the average load of short inquiries up to date.
+func (inquirer *Inquirer) decayShortLoad() {
+	now := inquirer.config.Clock()
+	if now > inquirer.shortLoadAt {
+		inquirer.shortLoad *= math.Exp(-float64(now-inquirer.shortLoadAt) / float64(loadWindow))
+		inquirer.shortLoadAt = now
+	}
 }
 
 // unresponsive reports whether a process has an overdue inquiry in flight, or has not
--- a/inquirer/inquirer_test.go
+++ b/inquirer/inquirer_test.go
@@ -38,6 +38,10 @@
 	return stager.Inquiry{Step: stager.StepID{Job: stager.JobID(fmt.Sprint(number))}, Workers: []modeller.WorkerName{"w"}, Takes: takes, Latest: latest}
 }
 
+func inquiryID(number int) stager.InquiryID {
+	return stager.InquiryID{Step: stager.StepID{Job: stager.JobID(fmt.Sprint(number))}}
+}
+
 func next(c *qt.C, got <-chan *stager.Inquiry) stager.StepID {
 	select {
 	case inquiry := <-got:
@@ -194,3 +198,68 @@
 	c.Check(asker.Lost(), qt.HasLen, 0)
 	c.Check(next(c, got).Job, qt.Equals, stager.JobID("2"))
 }
+
+// TestFreeTellsWhetherAnInquiryWouldWait guards against inquiries that wait while their
+// steps keep room idle.
+func TestFreeTellsWhetherAnInquiryWouldWait(t *testing.T) {
+	c := qt.New(t)
+	asker := inquirer.New(inquirer.Config{Clock: func() time.Duration { return 0 }})
+	c.Check(asker.Free(long), qt.IsFalse, qt.Commentf("no process is attached"))
+	for range 8 {
+		_, cancel := attach(asker)
+		defer cancel()
+	}
+	waitUntilAttached(c, asker)
+	time.Sleep(50 * time.Millisecond)
+	sent := 0
+	for ; asker.Free(long); sent++ {
+		asker.Ask(newInquiry(sent, long, 1))
+	}
+	c.Check(sent, qt.Equals, 7, qt.Commentf("one of eight is left for short inquiries"))
+	c.Check(asker.Free(short), qt.IsTrue)
+	asker.Ask(newInquiry(20, long, 1))
+	c.Check(asker.Free(long), qt.IsFalse)
+	c.Check(asker.Free(short), qt.IsTrue, qt.Commentf("a long inquiry waits"))
+	asker.Withdraw(newInquiry(20, long, 1).Step)
+	asker.Answered(inquiryID(0))
+	c.Check(asker.Free(long), qt.IsTrue)
+}
+
+// TestABurstOfShortInquiriesKeepsMoreProcessesFree guards against urgent short inquiries
+// that wait behind long ones: the processes kept free follow the load of short ones of the
+// last second.
+func TestABurstOfShortInquiriesKeepsMoreProcessesFree(t *testing.T) {
+	c := qt.New(t)
+	now := time.Duration(0)
+	asker := inquirer.New(inquirer.Config{Clock: func() time.Duration { return now }})
+	for range 16 {
+		_, cancel := attach(asker)
+		defer cancel()
+	}
+	waitUntilAttached(c, asker)
+	time.Sleep(50 * time.Millisecond)
+	freeForLong := func() int {
+		sent := 0
+		for ; asker.Free(long); sent++ {
+			asker.Ask(newInquiry(1000+sent, long, 1))
+		}
+		for number := range sent {
+			asker.Answered(inquiryID(1000 + number))
+		}
+		return sent
+	}
+	c.Check(freeForLong(), qt.Equals, 14)
+	// 2.9 seconds of work for advisers in one second keep three processes busy.
+	for number := range int(2900 * time.Millisecond / short) {
+		for !asker.Free(short) {
+			time.Sleep(time.Millisecond)
+		}
+		asker.Ask(newInquiry(number, short, 1))
+		asker.Answered(inquiryID(number))
+	}
+	// The processes take what was queued for them.
+	time.Sleep(100 * time.Millisecond)
+	c.Check(freeForLong(), qt.Equals, 10)
+	now += 10 * time.Second
+	c.Check(freeForLong(), qt.Equals, 14)
+}
