Staged state marks jobs that an account hands in beyond its weight

Account.Weight was decoded and used by nothing, so one account's flood was served before others' work of the same age. The state keeps, for each account, a bucket of its weight of jobs a second (Intakes) and marks a job beyond it (Excess) when it is accepted, from the time of the log alone.

--- a/stager/apply.go
+++ b/stager/apply.go
@@ -138,7 +138,7 @@
 	}
 	job := &Job{
 		ID: submit.ID, ClientAccount: submit.ClientAccount, Queue: submit.Queue, Payload: submit.Payload,
-		Steps: submit.Steps, Schedule: submit.Schedule, Accepted: state.Now,
+		Steps: submit.Steps, Schedule: submit.Schedule, Accepted: state.Now, Excess: state.takeIn(submit.ClientAccount),
 	}
 	tasks := uint32(0)
 	for index := range job.Steps {
--- a/stager/deployment.go
+++ b/stager/deployment.go
@@ -29,9 +29,9 @@
 	// the queue.
 	Host, Prefix string
 	Pool         PoolName
-	// Rank is the operators' order of the queues, 0 first. The policy does not
-	// use it yet: it orders steps by how much delay each job can still
-	// tolerate.
+	// Rank is the operators' order of the queues, 0 first. It decides while the waiting
+	// steps need more than what is free; otherwise the order is by how much delay each
+	// job can still tolerate.
 	Rank int
 	// MostFailures is how many failures of a task make its job fail.
 	MostFailures uint32
@@ -78,7 +78,8 @@
 type Account struct {
 	Name modeller.ClientAccountName
 	Keys []modeller.KeyHash
-	// Weight is the account's share when the fleet is full; it is at least 1.
+	// Weight is the account's share when the fleet is full, in jobs a second; it is at
+	// least 1. What the account hands in beyond it is served last while room is scarce.
 	Weight int64
 	// Limit bounds the resources of the account's live attempts; a zero
 	// component means no limit.
--- /dev/null
+++ b/stager/intake.go
@@ -0,0 +1,41 @@
+package stager
+
+import "github.com/dotterelrill/dotterelrill/modeller"
+
+// Intake is what a client account may still hand in within its weight, which is a number of
+// jobs a second. It fills up to the jobs of one second.
+type Intake struct {
+	_ struct{} `cbor:",toarray"`
+	// Thousandths is how many thousandths of a job were left at At.
+	Thousandths int64
+	At          modeller.Millis
+}
+
+// Weight returns the client account's weight; it is zero if the deployment does not list the
+// account.
+func (state *State) Weight(name modeller.ClientAccountName) int64 { return state.usageOf(name).weight }
+
+// takeIn counts a job of a client account, and reports whether it lies beyond the account's
+// weight. It rests on the time of the log alone, so that all replicas agree, and a time
+// that steps back between two terms adds nothing.
+func (state *State) takeIn(name modeller.ClientAccountName) bool {
+	weight := state.Weight(name)
+	if weight == 0 {
+		return false
+	}
+	intake, known := state.Intakes[name]
+	full := weight * 1000
+	if !known {
+		intake = Intake{Thousandths: full, At: state.Now}
+	}
+	if passed := int64(state.Now - intake.At); passed > 0 {
+		intake.Thousandths = min(full, intake.Thousandths+min(passed, 1000)*weight)
+	}
+	intake.At = state.Now
+	excess := intake.Thousandths < 1000
+	if !excess {
+		intake.Thousandths -= 1000
+	}
+	state.Intakes[name] = intake
+	return excess
+}
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -189,6 +189,8 @@
 	Schedule Schedule
 	// Accepted is the time of the batch that submitted the job.
 	Accepted modeller.Millis
+	// Excess is true if the client account handed the job in beyond its weight a second.
+	Excess bool `cbor:",omitempty"`
 	// Tasks holds the tasks of all steps of the first occurrence, then those of
 	// the next. It is dropped when the job is over and has no live attempts.
 	Tasks []Task
--- a/stager/state.go
+++ b/stager/state.go
@@ -27,6 +27,8 @@
 	Workers map[modeller.WorkerName]*Worker
 	Jobs    map[JobID]*Job
 	Waves   map[uint64]*Wave
+	// Intakes holds what each client account may hand in within its weight.
+	Intakes map[modeller.ClientAccountName]Intake `cbor:",omitempty"`
 	// Over lists the jobs that are over, in the order in which they ended.
 	Over []JobID
 
@@ -40,6 +42,8 @@
 type accountUsage struct {
 	used  modeller.Resources
 	limit modeller.Resources
+	// weight is zero if the deployment does not list the account.
+	weight int64
 }
 
 // New returns an empty State.
@@ -73,6 +77,7 @@
 		clone.Waves[number] = &copied
 	}
 	clone.Over = slices.Clone(state.Over)
+	clone.Intakes = maps.Clone(state.Intakes)
 	clone.Rebuild()
 	return &clone
 }
@@ -113,6 +118,9 @@
 	if state.Jobs == nil {
 		state.Jobs = make(map[JobID]*Job)
 	}
+	if state.Intakes == nil {
+		state.Intakes = make(map[modeller.ClientAccountName]Intake)
+	}
 	if state.Waves == nil {
 		state.Waves = make(map[uint64]*Wave)
 	}
@@ -137,14 +145,15 @@
 // loadLimits copies the deployment's limits into the accounts' usage records.
 func (state *State) loadLimits() {
 	for _, usage := range state.usages {
-		usage.limit = modeller.Resources{}
+		usage.limit, usage.weight = modeller.Resources{}, 0
 	}
 	if state.Deployment == nil {
 		return
 	}
 	for index := range state.Deployment.Accounts {
 		account := &state.Deployment.Accounts[index]
-		state.usageOf(account.Name).limit = account.Limit
+		usage := state.usageOf(account.Name)
+		usage.limit, usage.weight = account.Limit, account.Weight
 	}
 }
 
