Order beyond capacity: ranks, shares, and questions that do not wait

Cause: with more work than room everything was ordered by its latest start and became just late, and 20 to 50% of the cores were idle while over 270 steps waited: a gang kept its room for the 4 to 28 s that its question waited for an adviser, asked again about other workers when its room came a little late, and short questions were asked in vain because their room went to patient work.

With room for all, the order is as before. Metrics and log fields show what steps wait for.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -16,6 +16,8 @@
 package allotter
 
 import (
+	"time"
+
 	"github.com/dotterelrill/dotterelrill/modeller"
 	"github.com/dotterelrill/dotterelrill/stager"
 )
@@ -107,6 +109,9 @@
 	// Ask forwards a question, and sets the Asking field of the step's Approval
 	// if it was sent.
 	Ask func(Question)
+	// AdviserFree reports whether a question that takes the given time would be answered
+	// next; if it is nil, questions wait their turn.
+	AdviserFree func(time.Duration) bool
 	// RunTime corrects a queue's declared run time; if it is nil, declared run
 	// times are used unchanged.
 	RunTime func(modeller.QueueName, modeller.Millis) modeller.Millis
@@ -134,8 +139,15 @@
 	// gangSearches counts the gangs that this pass has searched room for.
 	gangSearches int
 	// trials counts the workers that run a suspect on trial or are reserved for one.
-	trials  int
-	scratch scratch
+	trials int
+	// scarce is true if the waiting steps need more than what is free.
+	scarce bool
+	// lastRank is the highest queueRank of the waiting steps.
+	lastRank int
+	// longBusy is true once an adviser was not free for a long question, and shortBusy for
+	// a short one.
+	longBusy, shortBusy bool
+	scratch             scratch
 }
 
 // scratch holds slices that are reused from one step to the next.
@@ -185,9 +197,9 @@
 // Summary counts the steps of one pass by their result.
 type Summary struct {
 	// Placed steps were placed whole; the others wait: Asking for an adviser's
-	// answer, NoRoom for room on workers, AtLimit for their client account to
-	// fall below its limit.
-	Placed, Asking, NoRoom, AtLimit int
+	// answer, NoAdviser for an adviser to ask, NoRoom for room on workers, AtLimit for
+	// their client account to fall below its limit.
+	Placed, Asking, NoAdviser, NoRoom, AtLimit int
 }
 
 // Run goes through the waiting steps in order, and places them or asks about
@@ -212,6 +224,9 @@
 	return summary
 }
 
+// Scarce reports, after Run, whether the waiting steps needed more than what was free.
+func (allotter *Allotter) Scarce() bool { return allotter.scarce }
+
 // reservedBefore reports whether room is reserved for a gang whose question is on its way
 // or was answered.
 func (allotter *Allotter) reservedBefore(step *readyStep) bool {
@@ -247,10 +262,20 @@
 		return &summary.Placed
 	}
 	step.tasks = step.waiting()
-	if allotter.ask(step, approval, append(ticketed, expired...)) {
+	return allotter.askAbout(step, approval, append(ticketed, expired...), summary)
+}
+
+// askAbout asks an adviser about a step that could not be placed on its approved workers. It
+// returns the counter of the summary that the step belongs to.
+func (allotter *Allotter) askAbout(step *readyStep, approval *Approval, approved []*Candidate, summary *Summary) *int {
+	switch {
+	case step.spec.Gang && allotter.awaitsTicketedRoom(step, approval):
+		return &summary.NoRoom
+	case !approval.Asking && !allotter.adviserFree(step):
+		return &summary.NoAdviser
+	case allotter.ask(step, approval, approved):
 		return &summary.Asking
-	}
-	if !step.spec.Gang {
+	case !step.spec.Gang:
 		return &summary.NoRoom
 	}
 	asking := allotter.prepareGang(step, approval)
--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -29,6 +30,8 @@
 	quiet   func(modeller.WorkerName) bool
 	lost    map[modeller.WorkerName]bool
 	onTrial bool
+	// adviserFree is what the owner reports of advisers; nil means that questions wait.
+	adviserFree func(time.Duration) bool
 }
 
 const workerCores = 8
@@ -88,6 +91,7 @@
 	config := allotter.Config{
 		State: fixture.state, Now: fixture.now, Elapsed: fixture.now, Approval: fixture.approval,
 		ExpectedReleases: func(name modeller.WorkerName) []allotter.ExpectedRelease { return fixture.endings[name] },
+		AdviserFree:      fixture.adviserFree,
 		Quiet:            fixture.quiet, OnTrial: func(stager.TaskID) bool { return fixture.onTrial },
 		Place: func(place *stager.Place) error {
 			fixture.state.Now = fixture.now
--- a/allotter/ask.go
+++ b/allotter/ask.go
@@ -1,7 +1,9 @@
 package allotter
 
 import (
+	"math"
 	"slices"
+	"time"
 
 	"github.com/dotterelrill/dotterelrill/modeller"
 	"github.com/dotterelrill/dotterelrill/stager"
@@ -117,9 +119,38 @@
 	}
 	question.Workers = question.Workers[:min(len(question.Workers), maxQuestionWorkers)]
 	allotter.config.Ask(question)
+	if allotter.keepsRoom(step, approval, len(question.Workers)) {
+		approval.PendingPlacement = allotter.expectedPlacement(step, approval, workers, unknown, missing)
+	}
 	return true
 }
 
+// keepsRoom reports whether a step keeps room while a question about so many workers is on
+// its way: one that goes before others by the rank of its queue, if the answer comes soon.
+func (allotter *Allotter) keepsRoom(step *readyStep, approval *Approval, workers int) bool {
+	return approval.Asking && step.queueRank < allotter.lastRank && !step.isolated && step.queue.Advised.AnswerTime(workers) < longQuestion
+}
+
+// expectedPlacement returns the workers that a step will probably be placed on once a
+// question about it is answered: those of its placement, and as many of the unknown ones as
+// it takes to expect the missing approvals. On a full fleet their room would be gone when
+// a short question is answered, and the question had to be asked again.
+func (allotter *Allotter) expectedPlacement(step *readyStep, approval *Approval, placed []modeller.WorkerName, unknown []*Candidate, missing int) []modeller.WorkerName {
+	expected := slices.Clone(placed)
+	wanted := int(math.Ceil(float64(missing) / max(approval.rate(), 1.0/maxSingleTaskWorkers)))
+	for _, candidate := range unknown {
+		for range min(step.slotsIn(candidate.free), wanted) {
+			expected = append(expected, candidate.Worker.Name)
+			wanted--
+		}
+		if wanted == 0 {
+			break
+		}
+	}
+	allotter.reserve(step, expected[len(placed):])
+	return expected
+}
+
 // minUsefulStarts is how many starts a question about unknown workers should bring once
 // a step has enough approved ones: an answer costs the leader about as much as two
 // starts do.
@@ -208,3 +239,26 @@
 	}
 	return workers
 }
+
+// adviserFree reports whether a question about the step would be answered next. While the
+// advisers are the bottleneck, a question that waits for them keeps room idle, and by the
+// time of its answer other steps may be more urgent. So only as many are asked as can be
+// answered, in the order of the steps.
+func (allotter *Allotter) adviserFree(step *readyStep) bool {
+	if allotter.config.AdviserFree == nil {
+		return true
+	}
+	takes := step.queue.Advised.AnswerTime(defaultQuestionWorkers)
+	busy := &allotter.shortBusy
+	if takes >= longQuestion {
+		busy = &allotter.longBusy
+	}
+	if !*busy {
+		*busy = !allotter.config.AdviserFree(takes)
+	}
+	return !*busy
+}
+
+// longQuestion is the time from which a question counts as long. Advisers keep some of
+// their time free of long ones, so one kind may be answered while the other waits.
+const longQuestion = 50 * time.Millisecond
--- a/allotter/gang.go
+++ b/allotter/gang.go
@@ -8,10 +8,10 @@
 	"github.com/dotterelrill/dotterelrill/stager"
 )
 
-// reserveForGang reserves the room that a gang's last question was about, and
-// records whether that question has been answered.
-func (allotter *Allotter) reserveForGang(step *readyStep) {
-	if step.queue.Advised == nil || !step.spec.Gang {
+// reservePending reserves the room that a step's last question was about, and records
+// whether that question has been answered.
+func (allotter *Allotter) reservePending(step *readyStep) {
+	if step.queue.Advised == nil {
 		return
 	}
 	approval := allotter.config.Approval(step.id)
@@ -156,6 +156,30 @@
 	return approval.Asking
 }
 
+// awaitsTicketedRoom reports whether a gang waits for room that becomes free on workers whose
+// tickets are valid until then, and reserves that room. Asking again about others would
+// keep room idle for the time of an answer.
+func (allotter *Allotter) awaitsTicketedRoom(step *readyStep, approval *Approval) bool {
+	if !allotter.scarce {
+		return false
+	}
+	ticketed, _ := allotter.approved(step, approval, freeWhenEmpty)
+	if len(ticketed) == 0 {
+		return false
+	}
+	expires := approval.Tickets[ticketed[0].Worker.Name].Until
+	for _, candidate := range ticketed {
+		expires = min(expires, approval.Tickets[candidate.Worker.Name].Until)
+	}
+	slots := allotter.earliestSlots(step, ticketed)
+	if slots == nil || slots[len(slots)-1].freeAt >= expires {
+		return false
+	}
+	allotter.reserve(step, slotWorkers(slots))
+	allotter.lateReserved = allotter.lateReserved || step.late
+	return true
+}
+
 // anyTicketExpires reports whether any of the workers' tickets has expired or
 // will expire by the given time.
 func (allotter *Allotter) anyTicketExpires(approval *Approval, workers []modeller.WorkerName, at modeller.Millis) bool {
@@ -196,8 +220,11 @@
 }
 
 // slotsOn counts the tasks of a step that a worker could hold if it were empty.
-func (step *readyStep) slotsOn(worker *stager.Worker) int {
-	free, count := worker.Capacity, 0
+func (step *readyStep) slotsOn(worker *stager.Worker) int { return step.slotsIn(worker.Capacity) }
+
+// slotsIn counts the tasks of a step that a worker with this much free room could take.
+func (step *readyStep) slotsIn(free modeller.Resources) int {
+	count := 0
 	for step.canAddTask(count) && step.spec.Demand().Fits(free) {
 		free = free.Sub(step.spec.Demand())
 		count++
@@ -226,22 +253,37 @@
 	if !step.spec.Gang || step.late && allotter.lateReserved {
 		return nil, 0
 	}
+	slots := allotter.earliestSlots(step, workers)
+	if slots == nil {
+		return nil, 0
+	}
+	reserved := slotWorkers(slots)
+	allotter.reserve(step, reserved)
+	allotter.lateReserved = allotter.lateReserved || step.late
+	return reserved, slots[len(slots)-1].freeAt
+}
+
+// earliestSlots returns room for each of the step's tasks on the workers, that which is free
+// first, earliest first; it returns nil if they cannot hold them all.
+func (allotter *Allotter) earliestSlots(step *readyStep, workers []*Candidate) []slot {
 	var slots []slot
 	for _, candidate := range workers {
 		slots = allotter.appendSlots(slots, step, candidate)
 	}
 	if len(slots) < len(step.tasks) {
-		return nil, 0
+		return nil
 	}
 	slices.SortStableFunc(slots, func(left, right slot) int { return cmp.Compare(left.freeAt, right.freeAt) })
-	slots = slots[:len(step.tasks)]
-	reserved := make([]modeller.WorkerName, 0, len(slots))
+	return slots[:len(step.tasks)]
+}
+
+// slotWorkers returns the worker of each slot.
+func slotWorkers(slots []slot) []modeller.WorkerName {
+	workers := make([]modeller.WorkerName, 0, len(slots))
 	for _, slot := range slots {
-		reserved = append(reserved, slot.worker)
+		workers = append(workers, slot.worker)
 	}
-	allotter.reserve(step, reserved)
-	allotter.lateReserved = allotter.lateReserved || step.late
-	return reserved, slots[len(slots)-1].freeAt
+	return workers
 }
 
 // appendSlots appends a slot for each of the step's tasks that the worker can
--- a/allotter/order.go
+++ b/allotter/order.go
@@ -36,6 +36,8 @@
 	// its callers are assumed to have stopped waiting. Lower values go first.
 	// It is always 0 for a lasting step.
 	urgency int
+	// queueRank is the rank of the step's queue, or zero while there is room for all steps.
+	queueRank int
 	// late is true if the job can't be on time any more.
 	late bool
 	// needsFastWorker is true if the job would be late on a worker that takes
@@ -55,6 +57,10 @@
 	for _, job := range allotter.config.State.Open() {
 		steps = allotter.appendReadySteps(steps, job)
 	}
+	allotter.scarce = allotter.exceedsRoom(steps)
+	if allotter.scarce {
+		allotter.rankShares(steps)
+	}
 	slices.SortStableFunc(steps, func(left, right *readyStep) int {
 		if left.paused != right.paused {
 			return compareFirst(right.paused)
@@ -65,11 +71,43 @@
 		if left.answered != right.answered {
 			return compareFirst(left.answered)
 		}
-		return cmp.Or(cmp.Compare(left.urgency, right.urgency), cmp.Compare(left.latestStart, right.latestStart), cmp.Compare(left.id.Job, right.id.Job))
+		return cmp.Or(cmp.Compare(left.urgency, right.urgency), cmp.Compare(left.queueRank, right.queueRank), cmp.Compare(left.latestStart, right.latestStart), cmp.Compare(left.id.Job, right.id.Job))
 	})
 	return steps
 }
 
+// rankShares sets what the order depends on while not all steps have room: the rank of
+// their queue, and whether their client account handed them in beyond its weight.
+func (allotter *Allotter) rankShares(steps []*readyStep) {
+	for _, step := range steps {
+		step.queueRank = step.queue.Rank
+		allotter.lastRank = max(allotter.lastRank, step.queueRank)
+		if step.job.Excess && !step.spec.Lasting {
+			step.urgency = givenUp
+		}
+	}
+}
+
+// exceedsRoom reports whether the steps need more than what is free.
+func (allotter *Allotter) exceedsRoom(steps []*readyStep) bool {
+	var needed, free modeller.Resources
+	for _, step := range steps {
+		needed = needed.Add(step.spec.Demand().Times(int64(len(step.tasks))))
+	}
+	for index := range allotter.config.Candidates {
+		worker := allotter.config.Candidates[index].Worker
+		free = free.Add(worker.Capacity.Sub(worker.Used()))
+	}
+	return !needed.Fits(free)
+}
+
+// Values of readyStep.urgency.
+const (
+	onTime = iota
+	overdue
+	givenUp
+)
+
 // compareFirst returns the comparison result of two elements of which exactly
 // one goes first.
 func compareFirst(leftFirst bool) int {
@@ -115,7 +153,7 @@
 		step.crashes = step.job.CrashesOf(step.cause).Total
 	}
 	allotter.setUrgency(step, releasedAt)
-	allotter.reserveForGang(step)
+	allotter.reservePending(step)
 	return true
 }
 
@@ -175,10 +213,10 @@
 	case step.spec.Lasting:
 		// How long its tasks have been down is not seen from when the job was accepted, and
 		// a question that waits keeps its order when another task goes down.
-	case allotter.config.Now > releasedAt+abandonedAfterObjectives*objective:
-		step.urgency = 2
+	case allotter.config.Now > releasedAt+abandonedAfterObjectives*objective-paths[step.id.Step]:
+		step.urgency = givenUp
 	case step.late:
-		step.urgency = 1
+		step.urgency = overdue
 	}
 }
 
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -69,6 +69,9 @@
 	// IdleAdvisers returns how many processes could pass an inquiry to an adviser at
 	// once.
 	IdleAdvisers func() int
+	// AdviserFree reports whether an inquiry that takes the given time would be sent to an
+	// adviser at once. If it is nil, inquiries wait their turn.
+	AdviserFree func(time.Duration) bool
 	// ProcessorTime returns the processor time that the process has used; if it is nil,
 	// the load is logged without it.
 	ProcessorTime func() time.Duration
@@ -124,9 +127,10 @@
 	// startedAt is when Run began, on Clock.
 	startedAt   time.Duration
 	instruments *instruments
-	// summary is that of the last placement pass; nextLoadLogAt is when the load
-	// is logged next.
+	// summary is that of the last placement pass, and scarce whether the waiting steps
+	// needed more than what was free; nextLoadLogAt is when the load is logged next.
 	summary       allotter.Summary
+	scarce        bool
 	load          load
 	nextLoadLogAt time.Duration
 	// nextPlanAt is the earliest time of the next placement pass.
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/dotterelrill/dotterelrill/allotter"
 	"github.com/dotterelrill/dotterelrill/stager"
 )
 
@@ -43,6 +44,24 @@
 	}
 }
 
+// countExcess counts a job that its client account handed in beyond its weight.
+func (instruments *instruments) countExcess(job *stager.Job) {
+	instruments.set.GetOrCreateCounter(fmt.Sprintf("dotterel_staged_excess_jobs_total{account=%q}", job.ClientAccount)).Inc()
+}
+
+// setWaiting sets how many steps the last placement pass left waiting, by what they wait
+// for, and whether they needed more than what was free.
+func (instruments *instruments) setWaiting(summary allotter.Summary, scarce bool) {
+	for cause, count := range map[string]int{"answer": summary.Asking, "adviser": summary.NoAdviser, "room": summary.NoRoom, "limit": summary.AtLimit} {
+		instruments.set.GetOrCreateGauge(fmt.Sprintf("dotterel_staged_waiting_steps{cause=%q}", cause), nil).Set(float64(count))
+	}
+	value := 0.0
+	if scarce {
+		value = 1
+	}
+	instruments.set.GetOrCreateGauge("dotterel_staged_scarce", nil).Set(value)
+}
+
 // countCall counts a worker's answer to a call by outcome and reason.
 func (instruments *instruments) countCall(call string, answer Answer) {
 	instruments.set.GetOrCreateCounter(fmt.Sprintf("dotterel_staged_calls_total{call=%q,outcome=%q,reason=%q}", call, answer.Outcome, answer.Reason)).Inc()
--- a/conductor/plan.go
+++ b/conductor/plan.go
@@ -22,7 +22,7 @@
 		return
 	}
 	conductor.placementPending = false
-	conductor.summary = allotter.New(allotter.Config{
+	pass := allotter.New(allotter.Config{
 		State:      conductor.state,
 		Now:        conductor.config.Now(),
 		Elapsed:    conductor.elapsed(),
@@ -42,12 +42,15 @@
 			return nil
 		},
 		Ask:              conductor.ask,
+		AdviserFree:      conductor.config.AdviserFree,
 		RunTime:          conductor.runTime,
 		ExpectedReleases: conductor.expectedReleases,
 		Quiet:            conductor.quiet,
 		OnTrial:          conductor.taskOnTrial,
 		Trials:           conductor.countTrials(),
-	}).Run()
+	})
+	conductor.summary = pass.Run()
+	conductor.scarce = pass.Scarce()
 	finishedAt := conductor.config.Clock()
 	conductor.nextPlanAt = finishedAt + planPauseFactor*(finishedAt-startedAt)
 	conductor.instruments.plan.Update((finishedAt - startedAt).Seconds())
@@ -99,8 +102,9 @@
 		free = free.Add(candidate.Worker.Capacity.Sub(candidate.Worker.Used()))
 	}
 	summary := conductor.summary
+	conductor.instruments.setWaiting(summary, conductor.scarce)
 	processorTime := conductor.processorTime()
-	logger.Info(conductor.config.Logger, "load", "OpenJobs", len(conductor.state.Open()), "StepsAsking", summary.Asking, "StepsWithoutRoom", summary.NoRoom,
+	logger.Info(conductor.config.Logger, "load", "OpenJobs", len(conductor.state.Open()), "StepsAsking", summary.Asking, "StepsWithoutRoom", summary.NoRoom, "StepsWithoutAdviser", summary.NoAdviser, "Scarce", conductor.scarce,
 		"StepsAtLimit", summary.AtLimit, "Workers", len(conductor.connections), "Usable", len(usable),
 		"FreeMilliProcessors", free.MilliProcessors, "FreeMemoryMiB", free.MemoryMiB, "BatchesInFlight", conductor.inFlight,
 		"Passes", conductor.load.passes, "PlanMillis", conductor.load.planTime.Milliseconds(), "LagMillis", conductor.load.lag.Milliseconds(),
--- a/conductor/request.go
+++ b/conductor/request.go
@@ -70,8 +70,12 @@
 		}
 		conductor.placementPending = true
 		conductor.instruments.jobsAccepted.Inc()
+		job := conductor.state.Jobs[submit.ID]
+		if job.Excess {
+			conductor.instruments.countExcess(job)
+		}
 		logger.Info(conductor.config.Logger, "job accepted", "Job", submit.ID, "ClientAccount", submit.ClientAccount, "Queue", submit.Queue,
-			"Steps", len(submit.Steps), "Deployment", conductor.deploymentVersion(), "Open", len(conductor.state.Open()))
+			"Steps", len(submit.Steps), "Excess", job.Excess, "Deployment", conductor.deploymentVersion(), "Open", len(conductor.state.Open()))
 		return nil
 	})
 }
--- a/internal/cellrunner/staged.go
+++ b/internal/cellrunner/staged.go
@@ -101,6 +101,7 @@
 		Lost:          leadership.stagedService.inquirer.Lost,
 		Withdraw:      leadership.stagedService.inquirer.Withdraw,
 		IdleAdvisers:  leadership.stagedService.inquirer.Idle,
+		AdviserFree:   leadership.stagedService.inquirer.Free,
 		ProcessorTime: processorTime,
 		Settings:      runner.settings.Staged,
 		Logger:        runner.logger,
