State and guard of an evacuated data centre

Cause: an operator takes a data centre out of service; the replicated state has no record of that, so any leader may place work there. Measured: go test ./stager ./applier passes.

--- a/stager/apply.go
+++ b/stager/apply.go
@@ -65,6 +65,8 @@
 		return state.end(command.End)
 	case command.Wave != nil:
 		return state.wave(command.Wave)
+	case command.Evacuate != nil:
+		return state.evacuate(command.Evacuate)
 	}
 	return refuse("the command is empty")
 }
@@ -217,6 +219,7 @@
 		admitted.used, admitted.liveTasks = existing.used, existing.liveTasks
 	}
 	state.Workers[worker.Name] = &admitted
+	state.DataCentres.Learn(worker.DataCentre)
 	return nil
 }
 
--- a/stager/command.go
+++ b/stager/command.go
@@ -25,6 +25,8 @@
 	Place  *Place      `cbor:",omitempty"`
 	End    *End        `cbor:",omitempty"`
 	Wave   *Wave       `cbor:",omitempty"`
+	// Evacuate takes a data centre out of service or puts it back.
+	Evacuate *Evacuate `cbor:",omitempty"`
 }
 
 // Begin opens a leader's term. The first batch of a term must start with it.
--- a/stager/place.go
+++ b/stager/place.go
@@ -87,6 +87,8 @@
 		return refuse("worker %s has another life", taskPlacement.Worker)
 	case worker.Leaving:
 		return refuse("worker %s is leaving", taskPlacement.Worker)
+	case state.Evacuated(worker):
+		return refuse("data centre %s of worker %s is evacuated", worker.DataCentre, taskPlacement.Worker)
 	case worker.Pool != state.Queues[job.Queue].Pool:
 		return refuse("worker %s belongs to pool %s", taskPlacement.Worker, worker.Pool)
 	case !worker.HasLabel(step.Label):
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -9,7 +9,7 @@
 // no task has two live attempts, no step starts before the steps that it
 // depends on are done, no task is placed again after its last allowed failure, a
 // gang is placed as a whole or not at all, a client account stays within its
-// limit, and the deployment's version never decreases.
+// limit, nothing is placed in an evacuated data centre, and the deployment's version never decreases.
 //
 // It leaves tracking and calling the workers to the conductor, what to propose
 // to the allotter, and the order of batches to the replicator. A State is not
--- a/stager/state.go
+++ b/stager/state.go
@@ -27,6 +27,9 @@
 	Workers map[modeller.WorkerName]*Worker
 	Jobs    map[JobID]*Job
 	Waves   map[uint64]*Wave
+	// DataCentres is empty in the snapshots of releases that knew no evacuations; it is
+	// then filled from Workers.
+	DataCentres DataCentres `cbor:",omitempty"`
 	// Over lists the jobs that are over, in the order in which they ended.
 	Over []JobID
 
@@ -72,6 +75,7 @@
 		copied.Done = slices.Clone(wave.Done)
 		clone.Waves[number] = &copied
 	}
+	clone.DataCentres = maps.Clone(state.DataCentres)
 	clone.Over = slices.Clone(state.Over)
 	clone.Rebuild()
 	return &clone
@@ -84,6 +88,9 @@
 	state.pendingJobs = make(map[modeller.QueueName]int)
 	state.openJobs = nil
 	state.loadLimits()
+	for _, name := range slices.Sorted(maps.Keys(state.Workers)) {
+		state.DataCentres.Learn(state.Workers[name].DataCentre)
+	}
 	for _, worker := range state.Workers {
 		worker.used = modeller.Resources{}
 		worker.liveTasks = make(map[TaskID]struct{})
@@ -116,6 +123,9 @@
 	if state.Waves == nil {
 		state.Waves = make(map[uint64]*Wave)
 	}
+	if state.DataCentres == nil {
+		state.DataCentres = make(DataCentres)
+	}
 }
 
 func (state *State) recountUsage(job *Job) {
