No start is sent into an evacuated data centre

Cause: a leader sends a start once its placement is committed, and again while it is unanswered, whatever was ordered about the data centre meanwhile. Change: conductor.Evacuate commits an order, also a repeated one, before it is acknowledged. Workers of an evacuated data centre are no candidates. An attempt of which no start was sent ends and is placed elsewhere; one whose start was not answered is stopped first. Tasks that last move within their disruption budget, long tasks with a checkpoint move too, both only into free room. Cold workers return one after the other after a withdrawn evacuation. New code UnknownDataCentre, log lines and metrics.

--- a/coder/code.go
+++ b/coder/code.go
@@ -45,6 +45,7 @@
 	UnknownMember      Code = 115
 	UnknownCommandKind Code = 116
 	UnknownWave        Code = 117
+	UnknownDataCentre  Code = 118
 )
 
 // Codes of failed authentication or authorisation. Row.NotRun tells which of
@@ -140,6 +141,7 @@
 	{UnknownMember, "UnknownMember", http.StatusNotFound, false, false, false, "No replica of the cell has this identity."},
 	{UnknownCommandKind, "UnknownCommandKind", http.StatusInternalServerError, true, false, false, "A log entry contains a command that this release does not support."},
 	{UnknownWave, "UnknownWave", http.StatusNotFound, false, false, false, "No maintenance wave has this number."},
+	{UnknownDataCentre, "UnknownDataCentre", http.StatusNotFound, false, false, false, "No worker of this data centre was ever announced, and the settings do not list it."},
 
 	{MissingKey, "MissingKey", http.StatusUnauthorized, true, false, true, "The request carries no key and the queue is not open to all."},
 	{WrongKey, "WrongKey", http.StatusForbidden, true, false, true, "The key does not belong to the client account."},
--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -39,7 +39,10 @@
 	// earliest time of the next one.
 	callInFlight bool
 	nextCallAt   time.Duration
-	startsSent   int
+	// asked is true once a worker of an evacuated data centre was asked whether it runs
+	// the attempt, so that it is not asked again.
+	asked      bool
+	startsSent int
 	// startSentAt is when the last start was sent.
 	startSentAt time.Duration
 	// stopping is true once the attempt is to be stopped; stopAcknowledgedAt is
@@ -159,6 +162,8 @@
 		conductor.endAttempt(connection, attempt, stager.Refusing, "")
 	case attempt.stopping && attempt.stopAcknowledgedAt == 0:
 		conductor.sendStop(connection, attempt)
+	case !attempt.stopping && (attempt.state == committed || attempt.state == sent) && conductor.startForbidden(connection):
+		conductor.withholdStart(connection, attempt)
 	case !attempt.stopping && attempt.startUnconfirmed && connection.unresponsive:
 		// The start is not repeated, since a new incarnation at the address would
 		// accept it; the probe detects that.
@@ -190,9 +195,11 @@
 	attempt.startsSent++
 	attempt.startSentAt = conductor.config.Clock()
 	timeout := startTimeout * time.Duration(attempt.startsSent)
-	target, ctx := connection.target(), connection.callContext
+	target := connection.target()
+	// The time runs from here, not from when the goroutine is scheduled, so that a process
+	// that stood still does not send a start long after it was decided.
+	callCtx, cancel := context.WithTimeout(connection.callContext, timeout)
 	go func() {
-		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		answer := conductor.config.Start(callCtx, target, order)
 		conductor.post(func() { conductor.handleStartAnswer(connection, attempt, answer) })
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -88,6 +88,9 @@
 	StaleAfter time.Duration
 	// GangWait is how long a gang's first task waits for the others.
 	GangWait time.Duration
+	// DataCentres are data centres that may be evacuated before a worker of theirs was
+	// ever announced.
+	DataCentres []string
 }
 
 // Conductor is the leader's side of staged jobs. Its exported methods are safe
@@ -135,6 +138,13 @@
 	// no task explains, with when each was last lost.
 	losses        []loss
 	lostAddresses map[string]time.Duration
+	// restoring counts, by data centre, the withdrawn evacuations that are not committed.
+	restoring map[modeller.DataCentreName]int
+	// evacuations holds the evacuated data centres that metrics are set for, and moves
+	// the tasks that are being moved out of them.
+	evacuations         map[modeller.DataCentreName]bool
+	moves               map[stager.TaskID]move
+	nextEvacuationLogAt time.Duration
 	// placementPending is true if a placement pass may find something to place.
 	placementPending bool
 }
@@ -162,6 +172,9 @@
 		trends:      make(map[modeller.QueueName]*estimator.Trend),
 
 		lostAddresses: make(map[string]time.Duration),
+		restoring:     make(map[modeller.DataCentreName]int),
+		evacuations:   make(map[modeller.DataCentreName]bool),
+		moves:         make(map[stager.TaskID]move),
 		instruments:   newInstruments(config.Metrics),
 	}
 }
@@ -315,6 +328,7 @@
 	}
 	conductor.expireInquiries()
 	conductor.forgetLosses()
+	conductor.checkEvacuations()
 	conductor.logLoad()
 	conductor.placementPending = true
 }
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -58,6 +58,10 @@
 	holdGate chan struct{}
 	// lostHolds is how many of the next holds with a wait get no answer.
 	lostHolds int
+	// onAsk is called with each inquiry, if it is set; otherwise none can be sent.
+	onAsk func(stager.Inquiry)
+	// runningAtStops is how many tasks ran in all when each stop arrived.
+	runningAtStops []int
 	// onBatch is called with each batch that is committed, if it is set.
 	onBatch func(*stager.Batch)
 	// lastBatch is closed once the previous batch is decided.
@@ -109,11 +113,11 @@
 		Start:    fleet.start,
 		Stop:     fleet.stop,
 		Hold:     fleet.hold,
-		Ask:      func(stager.Inquiry) bool { return false },
+		Ask:      fleet.ask,
 		Answered: func(stager.InquiryID) {},
 		Lost:     func() []stager.InquiryID { return nil },
 		Withdraw: func(stager.StepID) {},
-		Settings: conductor.Settings{Lease: lease, StaleAfter: time.Minute, GangWait: time.Second},
+		Settings: conductor.Settings{Lease: lease, StaleAfter: time.Minute, GangWait: time.Second, DataCentres: []string{"listed"}},
 		Logger:   log.NewNopLogger(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -147,6 +151,16 @@
 	}, nil
 }
 
+func (fleet *fleet) ask(inquiry stager.Inquiry) bool {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	if fleet.onAsk == nil {
+		return false
+	}
+	fleet.onAsk(inquiry)
+	return true
+}
+
 func (fleet *fleet) start(ctx context.Context, target conductor.Target, order *conductor.StartOrder) conductor.Answer {
 	fleet.mutex.Lock()
 	if blocked := fleet.blockedStart; blocked != nil {
@@ -183,6 +197,11 @@
 	if ctx.Err() != nil {
 		return conductor.Answer{Outcome: conductor.Unanswered}
 	}
+	count := 0
+	for _, running := range fleet.running {
+		count += len(running)
+	}
+	fleet.runningAtStops = append(fleet.runningAtStops, count)
 	fleet.stops = append(fleet.stops, order.Task.String())
 	fleet.finish(target.Worker, order.Task.String(), stager.Stopping)
 	return conductor.Answer{Outcome: conductor.Obeyed, Clock: workerClock()}
--- a/conductor/connection.go
+++ b/conductor/connection.go
@@ -33,6 +33,9 @@
 	successorSeenAt       time.Duration
 	successorAnnouncement *stager.Announcement
 	address               string
+	// announcedAt is when the worker last announced itself, and coldUntil until when it
+	// remains slow by what it announced.
+	announcedAt, coldUntil time.Duration
 	// announcementNumber is that of the newest announcement.
 	announcementNumber uint64
 	// lastContact is when the worker last announced itself or answered.
@@ -192,6 +195,8 @@
 	connection.announcementNumber = announcement.Number
 	connection.address = worker.Address
 	conductor.recordContact(connection, announcement.Clock)
+	connection.announcedAt = connection.lastContact
+	connection.coldUntil = connection.lastContact + time.Duration(announcement.ColdLeft)*time.Millisecond
 	conductor.ensureHold(connection)
 	conductor.placementPending = true
 	if worker.Leaving {
@@ -203,7 +208,7 @@
 // workerChanged reports whether an announcement differs from the stored worker.
 func workerChanged(stored, worker *stager.Worker) bool {
 	return stored.Life != worker.Life || stored.Leaving != worker.Leaving || stored.Address != worker.Address || stored.Pool != worker.Pool ||
-		stored.Capacity != worker.Capacity
+		stored.Capacity != worker.Capacity || stored.DataCentre != worker.DataCentre
 }
 
 // recordContact records contact with a worker, and its clock if it reported
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/dotterelrill/dotterelrill/modeller"
 	"github.com/dotterelrill/dotterelrill/stager"
 )
 
@@ -24,6 +26,9 @@
 	start, run *metrics.Histogram
 	// wait is the time from a job's acceptance to its first placement.
 	wait *metrics.Histogram
+	// startsWithheld counts the attempts that were not started in an evacuated data
+	// centre, and moves the tasks that were moved out of one.
+	startsWithheld, moves *metrics.Counter
 }
 
 func newInstruments(set *metrics.Set) *instruments {
@@ -40,6 +45,9 @@
 		start:        set.GetOrCreateHistogram("dotterel_staged_start_seconds"),
 		run:          set.GetOrCreateHistogram("dotterel_staged_run_seconds"),
 		wait:         set.GetOrCreateHistogram("dotterel_staged_wait_seconds"),
+
+		startsWithheld: set.GetOrCreateCounter("dotterel_staged_starts_withheld_total"),
+		moves:          set.GetOrCreateCounter("dotterel_staged_moves_total"),
 	}
 }
 
@@ -61,3 +69,20 @@
 func (instruments *instruments) countJobEnd(job *stager.Job) {
 	instruments.set.GetOrCreateHistogram(fmt.Sprintf("dotterel_staged_job_seconds{status=%q}", job.Status())).Update(float64(job.Ended-job.Accepted) / 1000)
 }
+
+// countEvacuation counts an order about a data centre.
+func (instruments *instruments) countEvacuation(evacuate *stager.Evacuate, repeated bool) {
+	instruments.set.GetOrCreateCounter(fmt.Sprintf("dotterel_staged_evacuations_total{data_centre=%q,withdrawn=%q,repeated=%q}",
+		evacuate.DataCentre, strconv.FormatBool(evacuate.Withdrawn), strconv.FormatBool(repeated))).Inc()
+}
+
+// setEvacuated shows whether a data centre is evacuated and how many attempts are live
+// there.
+func (instruments *instruments) setEvacuated(name modeller.DataCentreName, evacuated bool, live int) {
+	value := 0.0
+	if evacuated {
+		value = 1
+	}
+	instruments.set.GetOrCreateGauge(fmt.Sprintf("dotterel_staged_evacuated{data_centre=%q}", name), nil).Set(value)
+	instruments.set.GetOrCreateGauge(fmt.Sprintf("dotterel_staged_evacuated_live{data_centre=%q}", name), nil).Set(float64(live))
+}
--- a/conductor/plan.go
+++ b/conductor/plan.go
@@ -127,7 +127,8 @@
 	candidates := conductor.candidateBuffer[:0]
 	for _, connection := range conductor.sortedConnections {
 		worker := conductor.state.Workers[connection.name]
-		if worker != nil && !worker.Leaving && conductor.usable(connection, now) && !connection.onTrial(now) {
+		if worker != nil && !worker.Leaving && conductor.usable(connection, now) && !connection.onTrial(now) &&
+			!conductor.state.Evacuated(worker) && conductor.returned(connection, worker, now) {
 			candidates = append(candidates, allotter.Candidate{
 				Worker: worker, RecentFailures: connection.failureStreak, Pace: connection.pace.Factor(), LostRecently: conductor.lostRecently(connection.address),
 			})
--- a/stager/message.go
+++ b/stager/message.go
@@ -15,6 +15,9 @@
 	Number uint64
 	// Remaining is the minimum time for which a leaving worker keeps running.
 	Remaining modeller.Millis
+	// ColdLeft is how long the worker remains slow after its beginning or a pause; zero
+	// means that it is not.
+	ColdLeft modeller.Millis `cbor:",omitzero"`
 	// Gone is true if the worker process has ended.
 	Gone bool `cbor:",omitzero"`
 }
