--- a/internal/cellrunner/relay.go
+++ b/internal/cellrunner/relay.go
@@ -100,7 +100,8 @@
 			AnnounceAll: func(context.Context, *messenger.AnnounceAllRequest) (*messenger.AnnounceAllReply, error) {
 				return &messenger.AnnounceAllReply{Refusal: relay.notLeader()}, nil
 			},
-			Advise: refuseStaged[messenger.AdviseRequest](relay),
+			Advise:   refuseStaged[messenger.AdviseRequest](relay),
+			Evacuate: refuseStaged[messenger.EvacuateRequest](relay),
 			Deployed: func(context.Context, *messenger.DeployedRequest) (*messenger.DeployedReply, error) {
 				return &messenger.DeployedReply{Refusal: relay.notLeader()}, nil
 			},
--- a/internal/cellrunner/stagedservice.go
+++ b/internal/cellrunner/stagedservice.go
@@ -23,6 +23,7 @@
 		AnnounceAll: runner.announceAll,
 		Advise:      runner.advise,
 		Wave:        runner.wave,
+		Evacuate:    runner.evacuate,
 		Inquiries:   runner.inquiries,
 	}
 }
@@ -155,6 +156,14 @@
 	return answer, nil
 }
 
+func (runner *Runner) evacuate(ctx context.Context, request *messenger.EvacuateRequest) (*messenger.StagedReply, error) {
+	conductor, refusal := runner.requireConductor(request.Cell)
+	if refusal != nil {
+		return stagedReply(refusal)
+	}
+	return stagedReply(conductor.Evacuate(ctx, &request.Evacuate))
+}
+
 // inquiries streams questions for advisers to a process that can call them,
 // until this leadership ends. It includes the addresses of the replicas
 // whenever they change.
--- a/messenger/service.go
+++ b/messenger/service.go
@@ -86,6 +86,7 @@
 		}),
 		unary("Advise", func(server *CellServer) unaryMethod[AdviseRequest, StagedReply] { return server.Staged.Advise }),
 		unary("Wave", func(server *CellServer) unaryMethod[WaveRequest, WaveReply] { return server.Staged.Wave }),
+		unary("Evacuate", func(server *CellServer) unaryMethod[EvacuateRequest, StagedReply] { return server.Staged.Evacuate }),
 	},
 	Streams: []grpc.StreamDesc{
 		serverStream("Inquiries", func(server *CellServer) streamMethod[InquiriesRequest, InquiryMessage] {
--- a/messenger/staged.go
+++ b/messenger/staged.go
@@ -20,6 +20,7 @@
 	AnnounceAll func(ctx context.Context, request *AnnounceAllRequest) (*AnnounceAllReply, error)
 	Advise      func(ctx context.Context, request *AdviseRequest) (*StagedReply, error)
 	Wave        func(ctx context.Context, request *WaveRequest) (*WaveReply, error)
+	Evacuate    func(ctx context.Context, request *EvacuateRequest) (*StagedReply, error)
 	// Inquiries sends the leader's inquiries to advisers until the context or
 	// the replica's leadership ends.
 	Inquiries func(ctx context.Context, request *InquiriesRequest, send func(*InquiryMessage) error) error
@@ -151,6 +152,12 @@
 	Completed bool
 }
 
+// EvacuateRequest takes a data centre out of service, or puts it back.
+type EvacuateRequest struct {
+	Cell     modeller.CellName
+	Evacuate stager.Evacuate
+}
+
 // StagedSubmit calls the StagedSubmit method of the Cell service.
 func (client CellClient) StagedSubmit(ctx context.Context, request *StagedSubmitRequest) (*StagedReply, error) {
 	return call[StagedSubmitRequest, StagedReply](ctx, client.Connection, "/"+cellService+"/StagedSubmit", request)
@@ -186,6 +193,11 @@
 	return call[WaveRequest, WaveReply](ctx, client.Connection, "/"+cellService+"/Wave", request)
 }
 
+// Evacuate calls the Evacuate method of the Cell service.
+func (client CellClient) Evacuate(ctx context.Context, request *EvacuateRequest) (*StagedReply, error) {
+	return call[EvacuateRequest, StagedReply](ctx, client.Connection, "/"+cellService+"/Evacuate", request)
+}
+
 // Inquiries passes each inquiry to visit until the stream ends or visit fails.
 func (client CellClient) Inquiries(ctx context.Context, request *InquiriesRequest, visit func(*InquiryMessage) error) error {
 	return receive(ctx, client.Connection, "/"+cellService+"/Inquiries", request, visit)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -131,6 +131,14 @@
 	return reply.Completed, nil
 }
 
+// Evacuate takes a data centre out of service, or puts it back. It waits for a leader
+// until the context ends.
+func (relayer *Relayer) Evacuate(ctx context.Context, evacuate *stager.Evacuate) *coder.Refusal {
+	request := &messenger.EvacuateRequest{Cell: relayer.config.Cell, Evacuate: *evacuate}
+	_, refusal := forward(ctx, relayer, false, messenger.CellClient.Evacuate, refusalOf, request, nil)
+	return refusal
+}
+
 // adviceTimeout bounds the forwarding of an adviser's answer to the leader.
 const adviceTimeout = 2 * time.Second
 
