Operators evacuate, restore and list data centres with dotterelctl

Cause: the product's own interface has no order about a data centre. Change: command Evacuate in applier, with a RequestID, a guard on placements, a stop of idempotent tasks that are placed and not reported; the planner and the pushed and repeated starts leave evacuated workers out. Routes and dotterelctl data-centre evacuate, restore and list; the list counts staged and other live tasks. History, explanation and report name the orders.

--- a/applier/apply.go
+++ b/applier/apply.go
@@ -41,7 +41,7 @@
 		return submitScope(command.Submit.ClientAccount, command.Submit.Key != "")
 	case command.Cancel != nil && !command.Cancel.Operator:
 		return "cancel/" + string(command.Cancel.Key)
-	case command.Cancel != nil, command.ApplyTemplate != nil, command.GrantKey != nil, command.WithdrawKey != nil:
+	case command.Cancel != nil, command.ApplyTemplate != nil, command.GrantKey != nil, command.WithdrawKey != nil, command.Evacuate != nil:
 		return "operator/" + strconv.Quote(command.Actor)
 	}
 	return ""
@@ -123,6 +123,7 @@
 		GrantKey:      command.GrantKey,
 		WithdrawKey:   command.WithdrawKey,
 		Cancel:        command.Cancel,
+		Evacuate:      command.Evacuate,
 	}
 	if command.Submit != nil {
 		submit := *command.Submit
@@ -147,6 +148,8 @@
 		return state.submit(command.Submit, command.RequestID)
 	case command.Cancel != nil:
 		return state.cancel(command.Cancel)
+	case command.Evacuate != nil:
+		return state.evacuate(command.Evacuate)
 	case command.JoinWorker != nil:
 		return state.joinWorker(command.JoinWorker)
 	case command.LoseWorker != nil:
--- a/applier/command.go
+++ b/applier/command.go
@@ -34,6 +34,8 @@
 	Report        *Report        `cbor:",omitempty"`
 	Refuse        *Refuse        `cbor:",omitempty"`
 	Tick          *Tick          `cbor:",omitempty"`
+	// Evacuate takes a data centre out of service or puts it back.
+	Evacuate *stager.Evacuate `json:",omitempty" cbor:",omitempty"`
 	// Staged is a batch of the leader's commands for staged jobs.
 	Staged *stager.Batch `json:",omitempty" cbor:",omitempty"`
 }
--- a/applier/event.go
+++ b/applier/event.go
@@ -45,7 +45,9 @@
 	// Description and WorkerState are set for events about workers.
 	Description modeller.WorkerDescription
 	WorkerState modeller.WorkerState
-	Revision    modeller.Revision
+	// Evacuated is true for events about workers whose data centre is evacuated.
+	Evacuated bool `json:",omitempty" cbor:",omitempty"`
+	Revision  modeller.Revision
 	// Template is set for EventConfigured, if a template was applied.
 	Template *modeller.Template
 }
@@ -89,7 +91,7 @@
 		events = append(events, Event{Kind: EventConfigured, Template: template, Revision: state.Revision})
 	}
 	for _, name := range slices.Sorted(maps.Keys(state.Workers)) {
-		events = append(events, workerEvent(EventWorkerJoined, state.Workers[name]))
+		events = append(events, state.workerEvent(EventWorkerJoined, state.Workers[name]))
 	}
 	for _, id := range state.openJobs() {
 		events = append(events, jobEvents(id, state.Jobs[id])...)
@@ -122,12 +124,13 @@
 	return events
 }
 
-func workerEvent(kind EventKind, worker *Worker) Event {
+func (state *State) workerEvent(kind EventKind, worker *Worker) Event {
 	return Event{
 		Kind:        kind,
 		Worker:      worker.Description.Name,
 		Incarnation: worker.Description.Incarnation,
 		Description: worker.Description,
 		WorkerState: worker.State,
+		Evacuated:   state.Evacuated(worker),
 	}
 }
--- a/applier/state.go
+++ b/applier/state.go
@@ -21,6 +21,8 @@
 
 import (
 	"hash/crc32"
+	"maps"
+	"slices"
 
 	"github.com/dotterelrill/dotterelrill/coder"
 	"github.com/dotterelrill/dotterelrill/encoder"
@@ -58,6 +60,10 @@
 	// first batch about them is applied.
 	Staged *stager.State `json:",omitempty" cbor:",omitempty"`
 
+	// DataCentres is empty in the snapshots of releases that knew no evacuations; it is
+	// then filled from Workers.
+	DataCentres stager.DataCentres `json:",omitempty" cbor:",omitempty"`
+
 	accounts       map[modeller.ClientAccountName]*Account
 	finishedTotals finishedTotals
 	events         []Event
@@ -251,6 +257,9 @@
 	for _, template := range state.Templates {
 		state.ensureAccount(template.ClientAccount).Template = template
 	}
+	for _, name := range slices.Sorted(maps.Keys(state.Workers)) {
+		state.DataCentres.Learn(state.Workers[name].Description.DataCentre)
+	}
 	for _, worker := range state.Workers {
 		worker.used = modeller.Resources{}
 		worker.live = make(map[modeller.TaskID]struct{})
@@ -281,6 +290,9 @@
 	if state.Requests == nil {
 		state.Requests = make(map[RequestKey]*Request)
 	}
+	if state.DataCentres == nil {
+		state.DataCentres = make(stager.DataCentres)
+	}
 }
 
 func (state *State) rebuildTaskUsage(id modeller.TaskID, job *Job) {
--- a/applier/work.go
+++ b/applier/work.go
@@ -30,8 +30,9 @@
 		state.Workers[description.Name] = worker
 	}
 	worker.Description = description
+	state.DataCentres.Learn(description.DataCentre)
 	state.recordShape(capacity)
-	state.emit(workerEvent(EventWorkerJoined, worker))
+	state.emit(state.workerEvent(EventWorkerJoined, worker))
 	return Result{}
 }
 
@@ -69,7 +70,7 @@
 	if lose.Entry != 0 && worker.Entry != lose.Entry {
 		return refuse(coder.StaleIncarnation, "the worker has joined anew since")
 	}
-	event := workerEvent(EventWorkerLost, worker)
+	event := state.workerEvent(EventWorkerLost, worker)
 	for _, id := range sortedTaskIDs(worker.live) {
 		state.loseAttempt(id, state.Jobs[id.Job], truncate("the lease of worker "+string(lose.Worker)+" is over: "+lose.Reason))
 	}
@@ -101,7 +102,7 @@
 	}
 	worker.State = set.State
 	worker.Reason = truncate(set.Reason)
-	state.emit(workerEvent(EventWorkerChanged, worker))
+	state.emit(state.workerEvent(EventWorkerChanged, worker))
 	return Result{}
 }
 
@@ -179,6 +180,9 @@
 	if code != coder.OK {
 		return code, detail
 	}
+	if state.Evacuated(worker) {
+		return coder.WorkerLeaving, "the worker's data centre is evacuated"
+	}
 	return checkEligible(worker, job.Spec.Size, count)
 }
 
--- a/explainer/command.go
+++ b/explainer/command.go
@@ -47,6 +47,10 @@
 		return fmt.Sprintf("granted key %s to %s", command.GrantKey.Key.Fingerprint(), command.GrantKey.ClientAccount)
 	case command.WithdrawKey != nil:
 		return fmt.Sprintf("withdrew key %s", command.WithdrawKey.Key.Fingerprint())
+	case command.Evacuate != nil && command.Evacuate.Withdrawn:
+		return fmt.Sprintf("restored data centre %s, request %s", command.Evacuate.DataCentre, command.RequestID)
+	case command.Evacuate != nil:
+		return fmt.Sprintf("evacuated data centre %s, request %s", command.Evacuate.DataCentre, command.RequestID)
 	case command.Tick != nil:
 		return "advanced the time"
 	}
--- a/internal/cellrunner/heartbeat.go
+++ b/internal/cellrunner/heartbeat.go
@@ -172,6 +172,8 @@
 // may have missed, and stops of attempts that are not current.
 func (leadership *leadership) reconcileAttempts(heartbeat *messenger.Heartbeat, answer *messenger.HeartbeatAnswer) {
 	leadership.runner.stateMachine.read(func(state *applier.State) {
+		worker := state.Workers[heartbeat.Worker.Name]
+		evacuated := worker != nil && state.Evacuated(worker)
 		answer.Interval = leadership.leaser.Interval(len(state.Workers))
 		now := leadership.runner.now()
 		for _, id := range state.LiveOn(heartbeat.Worker.Name) {
@@ -181,7 +183,7 @@
 			switch {
 			case task.State == modeller.TaskStopping:
 				answer.Stops = append(answer.Stops, key)
-			case task.State == modeller.TaskPlaced && now > task.Placed+repeatStartAfter && !slices.Contains(heartbeat.Running, key):
+			case task.State == modeller.TaskPlaced && !evacuated && now > task.Placed+repeatStartAfter && !slices.Contains(heartbeat.Running, key):
 				if start, ok := leadership.describeStart(job.Spec, id, task.Attempt, task.Worker, task.Incarnation); ok {
 					answer.Starts = append(answer.Starts, *start)
 				}
--- a/internal/cellrunner/order.go
+++ b/internal/cellrunner/order.go
@@ -108,7 +108,7 @@
 	}
 	var dataCentre modeller.DataCentreName
 	leadership.runner.stateMachine.read(func(state *applier.State) {
-		if worker := state.Workers[event.Worker]; worker != nil {
+		if worker := state.Workers[event.Worker]; worker != nil && (order.Start == nil || !state.Evacuated(worker)) {
 			order.Address = worker.Description.Address
 			dataCentre = worker.Description.DataCentre
 		}
--- a/internal/cellrunner/service.go
+++ b/internal/cellrunner/service.go
@@ -69,7 +69,7 @@
 // commands of the leader's control loops are not accepted from outside.
 func allowedFromEntry(command *applier.Command) bool {
 	return command.ApplyTemplate != nil || command.GrantKey != nil || command.WithdrawKey != nil ||
-		command.Submit != nil || command.Cancel != nil || command.SetWorker != nil
+		command.Submit != nil || command.Cancel != nil || command.SetWorker != nil || command.Evacuate != nil
 }
 
 func (runner *Runner) proposeForEntry(ctx context.Context, request *messenger.ProposeRequest) (*messenger.ProposeReply, error) {
@@ -79,6 +79,9 @@
 	if !allowedFromEntry(&request.Command) {
 		return &messenger.ProposeReply{Refusal: coder.Refuse(coder.Malformed, "entries may not propose this command")}, nil
 	}
+	if refusal := runner.checkEvacuation(request.Command.Evacuate); refusal != nil {
+		return &messenger.ProposeReply{Refusal: refusal}, nil
+	}
 	result, err := runner.propose(ctx, &request.Command)
 	if err != nil {
 		return &messenger.ProposeReply{Refusal: runner.refusalOf(err)}, nil
@@ -256,6 +259,9 @@
 			})
 		}
 	}
+	if request.DataCentres {
+		reply.DataCentres = dataCentreRows(state)
+	}
 	if request.Keys {
 		for _, hash := range slices.Sorted(maps.Keys(state.Keys)) {
 			key := state.Keys[hash]
--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -105,6 +105,11 @@
 		reply.Templates = append(reply.Templates, *template)
 		reply.Accounts = append(reply.Accounts, messenger.AccountRow{Name: template.ClientAccount, Share: template.Share, Limit: template.Limit, Used: account.Used, Live: account.Live})
 	}
+	if request.DataCentres {
+		for name, dataCentre := range fakeEntry.state.DataCentres {
+			reply.DataCentres = append(reply.DataCentres, messenger.DataCentreRow{Name: name, Evacuated: dataCentre.Evacuated, Restored: dataCentre.Restored, Workers: len(fakeEntry.state.Workers)})
+		}
+	}
 	for hash, key := range fakeEntry.state.Keys {
 		reply.Keys = append(reply.Keys, messenger.KeyRow{Fingerprint: hash.Fingerprint(), ClientAccount: key.ClientAccount, Granted: key.Granted, Withdrawn: key.Withdrawn})
 	}
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -171,8 +171,8 @@
 // QueryRequest asks for an overview of the state.
 type QueryRequest struct {
 	Cell modeller.CellName
-	// The fields from Accounts to Templates select the lists to return.
-	Accounts, Workers, Jobs, Keys, Members, Templates bool
+	// The fields from Accounts to DataCentres select the lists to return.
+	Accounts, Workers, Jobs, Keys, Members, Templates, DataCentres bool
 	// ClientAccount limits jobs and queues to one account, if it is set.
 	ClientAccount modeller.ClientAccountName
 	// Open limits jobs to those without an outcome.
@@ -198,6 +198,8 @@
 	Keys      []KeyRow
 	Members   []MemberRow
 	Templates []modeller.Template
+	// DataCentres lists the known data centres by name.
+	DataCentres []DataCentreRow `json:",omitempty" cbor:",omitempty"`
 }
 
 // AccountRow describes a client account: its share, limit and current use.
@@ -226,6 +228,17 @@
 	Live        int
 }
 
+// DataCentreRow describes a data centre.
+type DataCentreRow struct {
+	Name modeller.DataCentreName
+	// Evacuated is when the evacuation in force was ordered, and Restored when the last
+	// one was withdrawn; zero means that there is none.
+	Evacuated, Restored modeller.Millis
+	Workers             int
+	// Live counts the tasks that run there or may begin there, of staged and other jobs.
+	Live int
+}
+
 // JobRow summarises a job.
 type JobRow struct {
 	Spec    applier.Spec
--- a/operatorserver/filter.go
+++ b/operatorserver/filter.go
@@ -24,7 +24,7 @@
 // commandKinds are the values of a filter's Kind, in the order of commandKind.
 var commandKinds = []string{
 	"ApplyTemplate", "GrantKey", "WithdrawKey", "Submit", "Cancel", "JoinWorker", "LoseWorker", "SetWorker",
-	"Place", "Stop", "Report", "Refuse", "Tick",
+	"Place", "Stop", "Report", "Refuse", "Tick", "Evacuate",
 }
 
 func parseFilter(context echo.Context) (*filter, *coder.Refusal) {
@@ -67,6 +67,7 @@
 		command.ApplyTemplate != nil, command.GrantKey != nil, command.WithdrawKey != nil, command.Submit != nil,
 		command.Cancel != nil, command.JoinWorker != nil, command.LoseWorker != nil, command.SetWorker != nil,
 		command.Place != nil, command.Stop != nil, command.Report != nil, command.Refuse != nil, command.Tick != nil,
+		command.Evacuate != nil,
 	}
 	if index := slices.Index(set, true); index >= 0 {
 		return commandKinds[index]
--- a/operatorserver/operatorserver.go
+++ b/operatorserver/operatorserver.go
@@ -1,5 +1,5 @@
 // Package operatorserver owns the HTTP interface for operators and reviewers:
-// templates, keys, workers, members, overviews and the history. Bodies are JSON.
+// templates, keys, workers, data centres, members, overviews and the history. Bodies are JSON.
 //
 // Operators authenticate with keys of their own; each entry has the hashes of
 // these keys in its settings. No route places a task manually: operators
@@ -22,6 +22,7 @@
 	"github.com/dotterelrill/dotterelrill/messenger"
 	"github.com/dotterelrill/dotterelrill/modeller"
 	"github.com/dotterelrill/dotterelrill/responder"
+	"github.com/dotterelrill/dotterelrill/stager"
 	"github.com/dotterelrill/dotterelrill/templater"
 )
 
@@ -74,6 +75,8 @@
 	group.DELETE("/jobs/:id", server.cancel)
 	group.GET("/jobs/:id", server.job)
 	group.POST("/workers/:name/drain", server.drain)
+	group.POST("/data-centres/:name/evacuation", server.evacuate)
+	group.DELETE("/data-centres/:name/evacuation", server.restore)
 	group.DELETE("/members/:id", server.removeMember)
 	group.GET("/overview", server.overview)
 	group.GET("/history", server.history)
@@ -218,6 +221,25 @@
 	return responder.Refusal(context, coder.Refuse(coder.UnknownWorker, "no worker %s", name))
 }
 
+// EvacuationRequest is the body of a request to evacuate a data centre.
+type EvacuationRequest struct {
+	RequestID modeller.RequestID
+}
+
+func (server *Server) evacuate(context echo.Context) error {
+	var request EvacuationRequest
+	if refusal := responder.Decode(context, server.config.BodyLimit, &request); refusal != nil {
+		return responder.Refusal(context, refusal)
+	}
+	evacuate := &stager.Evacuate{DataCentre: modeller.DataCentreName(context.Param("name"))}
+	return server.proposeAndRespond(context, &applier.Command{RequestID: request.RequestID, Evacuate: evacuate})
+}
+
+func (server *Server) restore(context echo.Context) error {
+	restore := &stager.Evacuate{DataCentre: modeller.DataCentreName(context.Param("name")), Withdrawn: true}
+	return server.proposeAndRespond(context, &applier.Command{RequestID: requestID(context), Evacuate: restore})
+}
+
 func (server *Server) removeMember(context echo.Context) error {
 	request := &messenger.MemberRequest{Remove: journaler.ReplicaID(context.Param("id"))}
 	if refusal := server.config.Member(context.Request().Context(), request); refusal != nil {
@@ -241,6 +263,7 @@
 		Keys:          context.QueryParam("Keys") != "",
 		Members:       context.QueryParam("Members") != "",
 		Templates:     context.QueryParam("Templates") != "",
+		DataCentres:   context.QueryParam("DataCentres") != "",
 		ClientAccount: modeller.ClientAccountName(context.QueryParam("ClientAccount")),
 		Open:          context.QueryParam("Open") != "",
 		Before:        modeller.JobID(before),
--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -23,7 +23,7 @@
 	joined.freeSlots += event.Description.Slots - joined.description.Slots
 	joined.free = event.Description.Capacity.Sub(used)
 	joined.description = event.Description
-	joined.state = event.WorkerState
+	joined.state, joined.evacuated = event.WorkerState, event.Evacuated
 	view.countCapacity(event.Description.Capacity, 1)
 	view.setFleetCapacity(view.fleetCapacity.Add(event.Description.Capacity))
 }
@@ -47,7 +47,7 @@
 	if worker == nil {
 		return
 	}
-	worker.state = event.WorkerState
+	worker.state, worker.evacuated = event.WorkerState, event.Evacuated
 	view.reindex(worker)
 	view.markReleased()
 }
@@ -108,6 +108,9 @@
 
 // schedulable reports whether the worker's state and slots allow one more task.
 func (worker *worker) schedulable() bool {
+	if worker.evacuated {
+		return false
+	}
 	switch worker.state {
 	case modeller.WorkerUp:
 		return worker.freeSlots > 0
--- a/planner/preempt.go
+++ b/planner/preempt.go
@@ -107,7 +107,7 @@
 // is meant for another job.
 func victimGroup(victim *task, size modeller.Resources) []*task {
 	worker := victim.worker
-	if worker == nil || worker.state != modeller.WorkerUp || slices.ContainsFunc(worker.live, isStopping) {
+	if worker == nil || worker.state != modeller.WorkerUp || worker.evacuated || slices.ContainsFunc(worker.live, isStopping) {
 		return nil
 	}
 	free := worker.free.Add(victim.job.spec.Size)
--- a/planner/reserve.go
+++ b/planner/reserve.go
@@ -141,7 +141,7 @@
 func (view *View) availabilities(job *job, now modeller.Millis) []availability {
 	found := make([]availability, 0, len(view.sortedWorkers))
 	for _, worker := range view.sortedWorkers {
-		if worker.state != modeller.WorkerUp || !view.fresh(worker) {
+		if worker.state != modeller.WorkerUp || worker.evacuated || !view.fresh(worker) {
 			continue
 		}
 		found = append(found, view.availabilityOf(worker, job, now))
--- a/planner/view.go
+++ b/planner/view.go
@@ -96,9 +96,11 @@
 type worker struct {
 	description modeller.WorkerDescription
 	state       modeller.WorkerState
-	free        modeller.Resources
-	freeSlots   int64
-	position    int
+	// evacuated is true while the data centre of the worker is evacuated.
+	evacuated bool
+	free      modeller.Resources
+	freeSlots int64
+	position  int
 	// live holds the attempts on the worker in the order of placement.
 	live []*task
 	// reserved is true while the reservation excludes other work from the worker.
--- a/reporter/collector.go
+++ b/reporter/collector.go
@@ -156,6 +156,10 @@
 		collector.addFault(record, "attempt stopped", command.Stop.Task.String()+": "+command.Stop.Reason.String()+", "+command.Stop.Detail)
 	case command.Report != nil && command.Report.Phase == modeller.PhaseFailed:
 		collector.addFault(record, "attempt failed", command.Report.Task.String()+" on "+string(command.Report.Worker)+": "+command.Report.Detail)
+	case command.Evacuate != nil && command.Evacuate.Withdrawn:
+		collector.addFault(record, "data centre restored", string(command.Evacuate.DataCentre))
+	case command.Evacuate != nil:
+		collector.addFault(record, "data centre evacuated", string(command.Evacuate.DataCentre))
 	case command.WithdrawKey != nil:
 		collector.addFault(record, "key withdrawn", command.WithdrawKey.Key.Fingerprint())
 	}
