Property test of applier draws evacuations

Cause: the guard of an evacuated data centre is tested on one sequence only. Change: the model draws evacuations and data centres, checks that nothing is placed in an evacuated one, and counts the order among the requests with a RequestID.

--- a/applier/draw_test.go
+++ b/applier/draw_test.go
@@ -12,6 +12,7 @@
 	"github.com/dotterelrill/dotterelrill/applier"
 	"github.com/dotterelrill/dotterelrill/coder"
 	"github.com/dotterelrill/dotterelrill/modeller"
+	"github.com/dotterelrill/dotterelrill/stager"
 )
 
 // The values that commands are drawn from. The sets are small, so that
@@ -57,7 +58,7 @@
 	}
 	kinds := []func(*rapid.T, *applier.State, *applier.Command){
 		drawTemplate, drawKeyChange, drawSubmit, drawSubmit, drawCancel, drawJoin, drawJoin, drawWorkerChange,
-		drawPlace, drawPlace, drawPlace, drawPlace, drawStop, drawReport, drawReport, drawReport, drawReport, drawRefuse,
+		drawPlace, drawPlace, drawPlace, drawPlace, drawStop, drawReport, drawReport, drawReport, drawReport, drawRefuse, drawEvacuate,
 	}
 	rapid.SampledFrom(kinds).Draw(t, "kind")(t, state, command)
 	return command
@@ -160,10 +161,19 @@
 			MilliProcessors: pick(t, "processors", []int64{2000, 4000}, extremeSizes),
 			MemoryMiB:       pick(t, "memory", []int64{500, 1000}, extremeSizes), Accelerators: 1,
 		},
-		Slots: pick(t, "slots", []int64{1, 3, 4}, extremeSizes),
+		DataCentre: pick(t, "dataCentre", dataCentres, nil),
+		Slots:      pick(t, "slots", []int64{1, 3, 4}, extremeSizes),
 	}}
 }
 
+// dataCentres are the data centres of the workers; the empty one is not told.
+var dataCentres = []modeller.DataCentreName{"n", "s", ""}
+
+func drawEvacuate(t *rapid.T, _ *applier.State, command *applier.Command) {
+	drawRequest(t, command)
+	command.Evacuate = &stager.Evacuate{DataCentre: pick(t, "dataCentre", dataCentres, nil), Withdrawn: rapid.Bool().Draw(t, "withdrawn")}
+}
+
 func drawWorkerChange(t *rapid.T, state *applier.State, command *applier.Command) {
 	name := rapid.SampledFrom(workers).Draw(t, "worker")
 	incarnation := pick(t, "incarnation", []modeller.Incarnation{1, 2}, nil)
--- a/applier/invariant_test.go
+++ b/applier/invariant_test.go
@@ -169,7 +169,7 @@
 		body.Submit = &submit
 	case command.Cancel != nil && !command.Cancel.Operator:
 		identity.kind, identity.sender = "cancel", string(command.Cancel.Key)
-	case command.Cancel == nil && command.ApplyTemplate == nil && command.GrantKey == nil && command.WithdrawKey == nil:
+	case command.Cancel == nil && command.ApplyTemplate == nil && command.GrantKey == nil && command.WithdrawKey == nil && command.Evacuate == nil:
 		return requestIdentity{}, ""
 	}
 	data, _ := encoder.Marshal(body)
@@ -277,6 +277,7 @@
 			model.require(job.Spec.Idempotent || !model.mayHaveRun[id], "work that is not idempotent runs at most once", command, result)
 			worker := model.state.Workers[placement.Worker]
 			model.require(worker.State != modeller.WorkerDraining, "a draining worker gets no new work", command, result)
+			model.require(!model.state.Evacuated(worker), "an evacuated data centre gets no new work", command, result)
 			model.live[id] = &attempt{placement: placement}
 		}
 	case command.Report != nil:
