--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -32,6 +32,9 @@
 	// LostRecently is true if an earlier incarnation was lost not long ago without a known
 	// cause. Suspects avoid the worker, as a further loss would tell nothing about them.
 	LostRecently bool
+	// Reserved is room on the worker for tasks that are being stopped elsewhere to run
+	// here; nothing is placed in it until they have ended there.
+	Reserved modeller.Resources
 	// free is what is free on the worker and not reserved. It is negative where more
 	// is reserved than free.
 	free modeller.Resources
@@ -149,7 +152,7 @@
 func New(config Config) *Allotter {
 	for index := range config.Candidates {
 		candidate := &config.Candidates[index]
-		candidate.free = candidate.Worker.Capacity.Sub(candidate.Worker.Used())
+		candidate.free = candidate.Worker.Capacity.Sub(candidate.Worker.Used()).Sub(candidate.Reserved)
 	}
 	return &Allotter{config: config, trials: config.Trials}
 }
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -185,6 +185,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer conductor.fail(ErrNotCommitted)
 	defer close(conductor.done)
+	defer conductor.clearEvacuationGauges()
 	defer cancel()
 	conductor.callContext = ctx
 	conductor.startedAt = conductor.config.Clock()
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -62,6 +62,10 @@
 	onAsk func(stager.Inquiry)
 	// runningAtStops is how many tasks ran in all when each stop arrived.
 	runningAtStops []int
+	// onStop is called with each stop before it is carried out, if it is set; stopsBegun
+	// counts the stops that have arrived.
+	onStop     func()
+	stopsBegun int
 	// onBatch is called with each batch that is committed, if it is set.
 	onBatch func(*stager.Batch)
 	// lastBatch is closed once the previous batch is decided.
@@ -193,6 +197,12 @@
 func (fleet *fleet) stop(ctx context.Context, target conductor.Target, order *conductor.StopOrder) conductor.Answer {
 	time.Sleep(time.Millisecond)
 	fleet.mutex.Lock()
+	fleet.stopsBegun++
+	if onStop := fleet.onStop; onStop != nil {
+		fleet.mutex.Unlock()
+		onStop()
+		fleet.mutex.Lock()
+	}
 	defer fleet.mutex.Unlock()
 	if ctx.Err() != nil {
 		return conductor.Answer{Outcome: conductor.Unanswered}
--- a/conductor/evacuation.go
+++ b/conductor/evacuation.go
@@ -148,6 +148,14 @@
 	return float64(hash.Sum32()) / math.MaxUint32
 }
 
+// clearEvacuationGauges clears the gauges at the end of a leadership: the next leader
+// sets its own.
+func (conductor *Conductor) clearEvacuationGauges() {
+	for name := range conductor.evacuations {
+		conductor.instruments.setEvacuated(name, false, 0)
+	}
+}
+
 // evacuationLogInterval is how often the progress of an evacuation is logged.
 const evacuationLogInterval = time.Second
 
--- a/conductor/evacuation_test.go
+++ b/conductor/evacuation_test.go
@@ -339,3 +339,26 @@
 		}
 	}
 }
+
+// TestRoomForAMoveIsReserved guards against a new job that takes the room which was found
+// for a lasting task while that task is being stopped.
+func TestRoomForAMoveIsReserved(t *testing.T) {
+	fleet := newFleet(t, nil)
+	fleet.announceIn("north", 1, "n", 0)
+	fleet.submit("j", lastingStep(1, 1))
+	fleet.await("the task", func() bool { return len(fleet.running["north"]) == 1 })
+	fleet.announceIn("south", 1, "s", 0)
+	gate := make(chan struct{})
+	fleet.mutex.Lock()
+	fleet.onStop = func() { <-gate }
+	fleet.mutex.Unlock()
+	fleet.mustEvacuate("n", false)
+	fleet.await("the stop", func() bool { return fleet.stopsBegun > 0 })
+	fleet.submit("later", singleCoreStep(1))
+	time.Sleep(300 * time.Millisecond)
+	fleet.mutex.Lock()
+	fleet.c.Check(fleet.running["south"], qt.HasLen, 0)
+	fleet.mutex.Unlock()
+	close(gate)
+	fleet.await("the move", func() bool { _, moved := fleet.running["south"]["j.0.0.0"]; return moved })
+}
--- a/conductor/move.go
+++ b/conductor/move.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// maxMoves bounds the tasks that are being moved at a time. Their room is free
-	// elsewhere but not reserved against new jobs, so only a few are exposed at once.
+	// maxMoves bounds the tasks that are being moved at a time. Their room is reserved
+	// until they have ended; then they are placed by their rank, as all others, so only a
+	// few are exposed to a burst at once.
 	maxMoves = 8
 	// minMoveRemaining is the remaining run time from which a task with checkpoints is
 	// moved. A move repeats what was done since the last checkpoint and takes a start
@@ -131,6 +132,25 @@
 	return count
 }
 
+// reserveForMoves reserves room on the candidates for the tasks that are being stopped to
+// run there. A task that has ended is placed by its rank; one that lasts goes first.
+func (conductor *Conductor) reserveForMoves(candidates []allotter.Candidate) {
+	for id, move := range conductor.moves {
+		job := conductor.state.Jobs[id.Job]
+		if job == nil || job.Over() {
+			continue
+		}
+		if task := job.Task(id); !task.Live || task.Attempt != move.attempt {
+			continue
+		}
+		for index := range candidates {
+			if candidates[index].Worker.Name == move.target {
+				candidates[index].Reserved = candidates[index].Reserved.Add(move.demand)
+			}
+		}
+	}
+}
+
 // freeBesideMoves returns what is free on the candidates beside the tasks that are moving
 // there.
 func (conductor *Conductor) freeBesideMoves(candidates []allotter.Candidate) map[modeller.WorkerName]modeller.Resources {
--- a/conductor/plan.go
+++ b/conductor/plan.go
@@ -135,5 +135,6 @@
 		}
 	}
 	conductor.candidateBuffer = candidates
+	conductor.reserveForMoves(candidates)
 	return candidates
 }
