Property test of the staged state draws evacuations

Cause: the guard was tested on single sequences; each pass looked up the data centre of every worker also where nothing was ever evacuated. Change: the model admits workers in data centres, draws evacuations and checks placements. Passes look up data centres only once an evacuation was ordered. The test of cold workers uses tasks that are not taken for stalled.

--- a/conductor/evacuation_test.go
+++ b/conductor/evacuation_test.go
@@ -310,7 +310,10 @@
 // a restored data centre at once while they are cold. Where nothing was evacuated, cold
 // workers are used as others.
 func TestColdWorkersReturnOneAfterTheOther(t *testing.T) {
-	const workers, cold = 30, 3 * time.Second
+	const workers, cold = 30, 2 * time.Second
+	// The tasks last long enough not to be taken for stalled and started again.
+	tasks := singleCoreStep(workers)
+	tasks.RunTime = 100_000
 	for _, evacuated := range []bool{false, true} {
 		fleet := newFleet(t, nil)
 		announce := func() {
@@ -324,7 +327,7 @@
 			fleet.mustEvacuate("n", true)
 			announce()
 		}
-		fleet.submit("j", singleCoreStep(workers))
+		fleet.submit("j", tasks)
 		var counts []int
 		fleet.await("all tasks", func() bool {
 			count := len(fleet.starts)
--- a/conductor/plan.go
+++ b/conductor/plan.go
@@ -125,10 +125,11 @@
 func (conductor *Conductor) candidates() []allotter.Candidate {
 	now := conductor.config.Clock()
 	candidates := conductor.candidateBuffer[:0]
+	ordered := conductor.state.DataCentres.Ordered()
 	for _, connection := range conductor.sortedConnections {
 		worker := conductor.state.Workers[connection.name]
 		if worker != nil && !worker.Leaving && conductor.usable(connection, now) && !connection.onTrial(now) &&
-			!conductor.state.Evacuated(worker) && conductor.returned(connection, worker, now) {
+			(!ordered || !conductor.state.Evacuated(worker) && conductor.returned(connection, worker, now)) {
 			candidates = append(candidates, allotter.Candidate{
 				Worker: worker, RecentFailures: connection.failureStreak, Pace: connection.pace.Factor(), LostRecently: conductor.lostRecently(connection.address),
 			})
--- a/stager/evacuation.go
+++ b/stager/evacuation.go
@@ -31,6 +31,17 @@
 	return dataCentres[name].Evacuated != 0
 }
 
+// Ordered reports whether any evacuation is in force or was withdrawn. Where there was
+// none, no worker has to be looked up.
+func (dataCentres DataCentres) Ordered() bool {
+	for _, dataCentre := range dataCentres {
+		if dataCentre != (DataCentre{}) {
+			return true
+		}
+	}
+	return false
+}
+
 // Order carries out an evacuation or its withdrawal. An order that is in force already
 // changes nothing, so that the time of the first one is kept. Order does not refuse a
 // data centre that is not known: the settings may list it, and replicas of different
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -209,6 +209,7 @@
 	c := qt.New(t)
 	rapid.Check(t, func(t *rapid.T) {
 		state := newState(c, 2)
+		mustApply(c, state, inDataCentre(0, "north"), inDataCentre(1, "south"))
 		succeeded := make(map[stager.TaskID]bool)
 		sequence := uint64(1)
 		for range rapid.IntRange(1, 60).Draw(t, "commands") {
@@ -221,6 +222,9 @@
 			if err == nil && command.Place != nil && succeeded[stager.TaskID{StepID: command.Place.Step, Index: command.Place.Tasks[0].Index}] {
 				t.Fatalf("a task was placed again after it succeeded: %+v", command.Place)
 			}
+			if err == nil && command.Place != nil && state.Evacuated(state.Workers[command.Place.Tasks[0].Worker]) {
+				t.Fatalf("a task was placed in an evacuated data centre: %+v", command.Place)
+			}
 			checkInvariants(t, state)
 		}
 		copied := state.Clone()
@@ -284,7 +288,9 @@
 	index := uint32(rapid.IntRange(0, 2).Draw(t, "index"))
 	attempt := modeller.Attempt(rapid.IntRange(1, 4).Draw(t, "attempt"))
 	name := modeller.WorkerName(rapid.SampledFrom([]string{"w0", "w1"}).Draw(t, "worker"))
-	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	switch rapid.IntRange(0, 10).Draw(t, "kind") {
+	case 10:
+		return evacuateCommand("north", rapid.Bool().Draw(t, "withdrawn"))
 	case 0:
 		second := step(1, 2)
 		second.After = []uint32{0}
@@ -292,7 +298,9 @@
 	case 1:
 		return stager.Command{Cancel: &stager.Cancel{Job: stager.JobID(job)}}
 	case 2:
-		return stager.Command{Admit: worker(rapid.IntRange(0, 1).Draw(t, "at"), stager.Incarnation(rapid.IntRange(1, 2).Draw(t, "life")))}
+		admitted := worker(rapid.IntRange(0, 1).Draw(t, "at"), stager.Incarnation(rapid.IntRange(1, 2).Draw(t, "life")))
+		admitted.DataCentre = rapid.SampledFrom([]modeller.DataCentreName{"north", "south"}).Draw(t, "dataCentre")
+		return stager.Command{Admit: admitted}
 	case 3:
 		return stager.Command{Drop: &stager.Drop{Worker: name, Life: 1}}
 	case 4, 5, 6:
