Work that an adviser approves moves too

Cause: tasks of a queue with an adviser stayed in an evacuated data centre, so that a long-lived one would keep it from becoming empty. Change: the adviser is asked about workers with room before the stop, while no question about a waiting step is on its way, and the task is stopped only once a ticket is valid for long enough. Measured: the conductor's tests of evacuations and go test ./stager pass.

--- a/conductor/evacuation_test.go
+++ b/conductor/evacuation_test.go
@@ -103,15 +103,20 @@
 	fleet.c.Check(fleet.stops, qt.DeepEquals, []string{"j.0.0.0"})
 }
 
+// newAdvisedFleet starts a conductor whose queue has an adviser.
+func newAdvisedFleet(t *testing.T) *fleet {
+	advised := deployment()
+	advised.Queues[0].Advised = &stager.AdviserTiming{Validity: time.Minute}
+	state := stager.New()
+	qt.Assert(t, state.Apply(&stager.Batch{Term: 1, Sequence: 1, Now: 1, Commands: []stager.Command{{Begin: &stager.Begin{KeepEnded: 100_000}}, {Deploy: advised}}}), qt.IsNil)
+	return newFleet(t, state)
+}
+
 // TestAdviceThatArrivesAfterAnEvacuationStartsNothingThere guards against placements that
 // an inquiry to the adviser has prepared.
 func TestAdviceThatArrivesAfterAnEvacuationStartsNothingThere(t *testing.T) {
 	for _, gang := range []bool{false, true} {
-		advised := deployment()
-		advised.Queues[0].Advised = &stager.AdviserTiming{Validity: time.Minute}
-		state := stager.New()
-		qt.Assert(t, state.Apply(&stager.Batch{Term: 1, Sequence: 1, Now: 1, Commands: []stager.Command{{Begin: &stager.Begin{KeepEnded: 100_000}}, {Deploy: advised}}}), qt.IsNil)
-		fleet := newFleet(t, state)
+		fleet := newAdvisedFleet(t)
 		starts := fleet.recordStarts()
 		inquiries := make(chan stager.Inquiry, 100)
 		fleet.mutex.Lock()
@@ -365,3 +370,35 @@
 	close(gate)
 	fleet.await("the move", func() bool { _, moved := fleet.running["south"]["j.0.0.0"]; return moved })
 }
+
+// TestATaskMovesOnlyWhereTheAdviserApproves guards against a stop before there is a worker
+// that the adviser approves of, and against a task that never moves because nobody asks.
+func TestATaskMovesOnlyWhereTheAdviserApproves(t *testing.T) {
+	fleet := newAdvisedFleet(t)
+	inquiries := make(chan stager.Inquiry, 100)
+	fleet.mutex.Lock()
+	fleet.onAsk = func(inquiry stager.Inquiry) { inquiries <- inquiry }
+	fleet.mutex.Unlock()
+	answer := func(approved modeller.WorkerName) {
+		inquiry := <-inquiries
+		advice := &stager.Advice{Step: inquiry.Step, Part: inquiry.Part, Asked: inquiry.Workers}
+		if slices.Contains(inquiry.Workers, approved) {
+			advice.Tickets = []stager.WorkerTicket{{Worker: approved, Ticket: "t"}}
+		}
+		fleet.conductor.Advise(advice)
+	}
+	fleet.announceIn("north", 1, "n", 0)
+	fleet.submit("j", lastingStep(1, 1))
+	answer("north")
+	fleet.await("the task", func() bool { return len(fleet.running["north"]) == 1 })
+	fleet.announceIn("refused", 1, "s", 0)
+	fleet.mustEvacuate("n", false)
+	answer("none")
+	time.Sleep(200 * time.Millisecond)
+	fleet.mutex.Lock()
+	fleet.c.Check(fleet.stops, qt.HasLen, 0)
+	fleet.mutex.Unlock()
+	fleet.announceIn("south", 1, "s", 0)
+	answer("south")
+	fleet.await("the move", func() bool { return len(fleet.running["south"]) == 1 && len(fleet.running["north"]) == 0 })
+}
--- a/conductor/move.go
+++ b/conductor/move.go
@@ -19,6 +19,13 @@
 	// and the restore, a second or two in all; below half a minute, waiting for the end
 	// costs the operator little.
 	minMoveRemaining = 30 * time.Second
+	// moveTicketMargin is how long an adviser's ticket must remain valid for a move: the
+	// stop, its confirmation and two commits take some 100 to 300 ms.
+	moveTicketMargin = 500 * time.Millisecond
+	// maxMoveQuestion bounds the workers of a question about a move, and moveUrgency
+	// orders it after those about waiting steps.
+	maxMoveQuestion = 10
+	moveUrgency     = 2
 )
 
 // move is a task that was stopped in an evacuated data centre so that it runs elsewhere.
@@ -64,8 +71,9 @@
 			free = conductor.freeBesideMoves(candidates)
 		}
 		job := conductor.state.Jobs[live.attempt.id.Job]
-		target := conductor.roomFor(job, live.attempt.id, candidates, free)
+		target, unapproved := conductor.roomFor(job, live.attempt.id, candidates, free)
 		if target == "" {
+			conductor.askForMove(live.attempt.id.StepID, unapproved)
 			continue
 		}
 		demand := job.Steps[live.attempt.id.Step].Demand()
@@ -83,8 +91,7 @@
 // centre from ever being empty; it moves within its disruption budget, and stays if it
 // has none. A long task with a checkpoint moves, as it repeats little. All others finish
 // where they are: one without a checkpoint would begin anew, a gang would stop as a whole,
-// and a short one has finished before it would run elsewhere. Work that an adviser has to
-// approve stays, as room for it is not known before it is asked for.
+// and a short one has finished before it would run elsewhere.
 func (conductor *Conductor) movable(live liveAttempt) bool {
 	attempt := live.attempt
 	job := conductor.state.Jobs[attempt.id.Job]
@@ -92,7 +99,7 @@
 		return false
 	}
 	step := &job.Steps[attempt.id.Step]
-	if step.Gang || job.Suspect(attempt.id) || conductor.state.Queues[job.Queue].Advised != nil {
+	if step.Gang || job.Suspect(attempt.id) {
 		return false
 	}
 	if step.Lasting || step.MostAway > 0 {
@@ -164,21 +171,45 @@
 	return free
 }
 
-// roomFor returns a candidate with room for a task, or "" if there is none.
-func (conductor *Conductor) roomFor(job *stager.Job, id stager.TaskID, candidates []allotter.Candidate, free map[modeller.WorkerName]modeller.Resources) modeller.WorkerName {
+// roomFor returns a candidate with room for a task, or "" if there is none. Where an
+// adviser has to approve of the worker, it also returns those with room that it may be
+// asked about.
+func (conductor *Conductor) roomFor(job *stager.Job, id stager.TaskID, candidates []allotter.Candidate, free map[modeller.WorkerName]modeller.Resources) (modeller.WorkerName, []modeller.WorkerName) {
 	step := &job.Steps[id.Step]
-	pool := conductor.state.Queues[job.Queue].Pool
+	queue := conductor.state.Queues[job.Queue]
+	var unapproved []modeller.WorkerName
 	for _, candidate := range candidates {
 		worker := candidate.Worker
-		if worker.Pool != pool || !worker.HasLabel(step.Label) || !step.Demand().Fits(free[worker.Name]) {
+		if worker.Pool != queue.Pool || !worker.HasLabel(step.Label) || !step.Demand().Fits(free[worker.Name]) {
 			continue
 		}
 		if step.MostPerWorker > 0 && worker.AttemptsOf(id.StepID)+conductor.movesTo(worker.Name, id.StepID) >= int(step.MostPerWorker) {
 			continue
 		}
-		return worker.Name
+		if queue.Advised == nil || conductor.approvedForMove(id.StepID, worker) {
+			return worker.Name, nil
+		}
+		if conductor.approval(id.StepID).Refused[worker.Name] != worker.Life {
+			unapproved = append(unapproved, worker.Name)
+		}
+	}
+	return "", unapproved
+}
+
+// approvedForMove reports whether the adviser has approved of a worker for a step for
+// long enough.
+func (conductor *Conductor) approvedForMove(step stager.StepID, worker *stager.Worker) bool {
+	ticket, approved := conductor.approval(step).Tickets[worker.Name]
+	return approved && ticket.Life == worker.Life && conductor.elapsed()+millis(moveTicketMargin) < ticket.Until
+}
+
+// askForMove asks the adviser whether a step may run on the workers, while no question
+// about a waiting step is on its way.
+func (conductor *Conductor) askForMove(step stager.StepID, workers []modeller.WorkerName) {
+	if len(workers) == 0 || conductor.summary.Asking > 0 || conductor.approval(step).Asking {
+		return
 	}
-	return ""
+	conductor.ask(allotter.Question{Step: step, Workers: workers[:min(len(workers), maxMoveQuestion)], Urgency: moveUrgency, Latest: conductor.config.Now()})
 }
 
 // movesTo returns how many tasks of a step are moving to a worker.
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -219,11 +219,8 @@
 			if err == nil && command.End != nil && command.End.How == stager.Succeeding {
 				succeeded[command.End.Task] = true
 			}
-			if err == nil && command.Place != nil && succeeded[stager.TaskID{StepID: command.Place.Step, Index: command.Place.Tasks[0].Index}] {
-				t.Fatalf("a task was placed again after it succeeded: %+v", command.Place)
-			}
-			if err == nil && command.Place != nil && state.Evacuated(state.Workers[command.Place.Tasks[0].Worker]) {
-				t.Fatalf("a task was placed in an evacuated data centre: %+v", command.Place)
+			if err == nil && command.Place != nil {
+				checkPlaced(t, state, succeeded, command.Place)
 			}
 			checkInvariants(t, state)
 		}
@@ -310,6 +307,16 @@
 	return endCommand(job, stepIndex, index, attempt, how)
 }
 
+// checkPlaced checks an accepted placement of one task.
+func checkPlaced(t *rapid.T, state *stager.State, succeeded map[stager.TaskID]bool, place *stager.Place) {
+	if succeeded[stager.TaskID{StepID: place.Step, Index: place.Tasks[0].Index}] {
+		t.Fatalf("a task was placed again after it succeeded: %+v", place)
+	}
+	if state.Evacuated(state.Workers[place.Tasks[0].Worker]) {
+		t.Fatalf("a task was placed in an evacuated data centre: %+v", place)
+	}
+}
+
 func checkInvariants(t *rapid.T, state *stager.State) {
 	used := make(map[modeller.WorkerName]modeller.Resources)
 	var total modeller.Resources
