A lasting task without a budget is not stopped to withhold its start

Cause: a later leader, or one whose start was not answered, would have stopped a lasting task in an evacuated data centre that may run, unless its step had a budget. Change: the worker of a lasting task is asked first as well.

--- a/conductor/evacuation.go
+++ b/conductor/evacuation.go
@@ -90,15 +90,15 @@
 // withholdStart handles an attempt that would be started, or started again, in an
 // evacuated data centre. One of which no start was sent ends at once and is placed
 // elsewhere. One whose start was not answered may run, or begin late: it is stopped, and
-// placed elsewhere once that is confirmed. A task with a disruption budget may only be
-// stopped if it does not run, so its worker is asked first.
+// placed elsewhere once that is confirmed. A task with a disruption budget, or that lasts
+// and has none, may only be stopped here if it does not run, so its worker is asked first.
 func (conductor *Conductor) withholdStart(connection *connection, attempt *attempt) {
 	if worker := conductor.state.Workers[connection.name]; !conductor.state.Evacuated(worker) {
 		// The withdrawal is being committed; the next tick sends the start.
 		return
 	}
 	job := conductor.state.Jobs[attempt.id.Job]
-	if attempt.startUnconfirmed && !attempt.asked && job != nil && !job.Over() && job.Steps[attempt.id.Step].MostAway > 0 {
+	if attempt.startUnconfirmed && !attempt.asked && job != nil && !job.Over() && (job.Steps[attempt.id.Step].Lasting || job.Steps[attempt.id.Step].MostAway > 0) {
 		attempt.asked, attempt.awaitingReport = true, true
 		conductor.ensureHold(connection)
 		return
--- a/conductor/evacuation_test.go
+++ b/conductor/evacuation_test.go
@@ -148,12 +148,12 @@
 // evacuatedState returns a committed state, as read back after a loss of power
 // everywhere, in which a task is placed in a data centre that was evacuated after it. An
 // earlier leader may have sent its start.
-func evacuatedState(c *qt.C) *stager.State {
+func evacuatedState(c *qt.C, step stager.Step) *stager.State {
 	written := stager.New()
 	north := &stager.Worker{Name: "north", Life: 1, Pool: "p", Address: "north", DataCentre: "n", Capacity: modeller.Resources{MilliProcessors: 1000, MemoryMiB: 1000}}
 	c.Assert(written.Apply(&stager.Batch{Term: 1, Sequence: 1, Now: 1, Commands: []stager.Command{
 		{Begin: &stager.Begin{KeepEnded: 100_000}}, {Deploy: deployment()}, {Admit: north},
-		{Submit: &stager.Submit{ID: "j", ClientAccount: "a", Queue: queue, Steps: []stager.Step{singleCoreStep(2)}}},
+		{Submit: &stager.Submit{ID: "j", ClientAccount: "a", Queue: queue, Steps: []stager.Step{step}}},
 		{Place: &stager.Place{Step: stager.StepID{Job: "j"}, Tasks: []stager.TaskPlacement{{Attempt: 1, Worker: "north", Life: 1}}}},
 		{Evacuate: &stager.Evacuate{DataCentre: "n"}},
 	}}), qt.IsNil)
@@ -168,7 +168,7 @@
 // TestALaterLeaderKeepsAnEvacuation guards against a leader that is lost between the ack
 // and its first pass, and against the loss of power everywhere just after the ack.
 func TestALaterLeaderKeepsAnEvacuation(t *testing.T) {
-	fleet := newFleet(t, evacuatedState(qt.New(t)))
+	fleet := newFleet(t, evacuatedState(qt.New(t), singleCoreStep(2)))
 	starts := fleet.recordStarts()
 	fleet.announceIn("north", 1, "n", 0)
 	fleet.announceIn("south", 2, "s", 0)
@@ -179,6 +179,33 @@
 	fleet.mustEvacuate("n", false)
 }
 
+// TestALastingTaskThatRunsIsNotStoppedByALaterLeader guards against the stop of a task
+// that a later leader does not know to run. One that does not run is placed elsewhere.
+func TestALastingTaskThatRunsIsNotStoppedByALaterLeader(t *testing.T) {
+	for _, runs := range []bool{false, true} {
+		gate := make(chan struct{})
+		fleet := newGatedFleet(t, evacuatedState(qt.New(t), lastingStep(1, 0)), gate)
+		if runs {
+			fleet.mutex.Lock()
+			task := stager.TaskID{StepID: stager.StepID{Job: "j"}}
+			fleet.running["north"] = map[string]conductor.StartOrder{task.String(): {Task: task, Attempt: 1}}
+			fleet.mutex.Unlock()
+		}
+		close(gate)
+		fleet.announceIn("north", 1, "n", 0)
+		fleet.announceIn("south", 1, "s", 0)
+		if !runs {
+			fleet.await("the task in the other data centre", func() bool { return len(fleet.running["south"]) == 1 })
+			continue
+		}
+		time.Sleep(500 * time.Millisecond)
+		fleet.mutex.Lock()
+		fleet.c.Check(fleet.stops, qt.HasLen, 0)
+		fleet.c.Check(fleet.starts, qt.HasLen, 0)
+		fleet.mutex.Unlock()
+	}
+}
+
 // TestAnOrderIsNotAcknowledgedBeforeItIsCommitted guards against the ack of a replica that
 // is cut off from the others, also of an order that is in force by its own state, which
 // a later leader may have withdrawn.
