--- a/stager/state.go
+++ b/stager/state.go
@@ -29,6 +29,9 @@
 	Waves   map[uint64]*Wave
 	// Intakes holds what each client account may hand in within its weight.
 	Intakes map[modeller.ClientAccountName]Intake `cbor:",omitempty"`
+	// DataCentres is empty in the snapshots of releases that knew no evacuations; it is
+	// then filled from Workers.
+	DataCentres DataCentres `cbor:",omitempty"`
 	// Over lists the jobs that are over, in the order in which they ended.
 	Over []JobID
 
@@ -76,6 +79,7 @@
 		copied.Done = slices.Clone(wave.Done)
 		clone.Waves[number] = &copied
 	}
+	clone.DataCentres = maps.Clone(state.DataCentres)
 	clone.Over = slices.Clone(state.Over)
 	clone.Intakes = maps.Clone(state.Intakes)
 	clone.Rebuild()
@@ -89,6 +93,9 @@
 	state.pendingJobs = make(map[modeller.QueueName]int)
 	state.openJobs = nil
 	state.loadLimits()
+	for _, name := range slices.Sorted(maps.Keys(state.Workers)) {
+		state.DataCentres.Learn(state.Workers[name].DataCentre)
+	}
 	for _, worker := range state.Workers {
 		worker.used = modeller.Resources{}
 		worker.liveTasks = make(map[TaskID]struct{})
@@ -124,6 +131,9 @@
 	if state.Waves == nil {
 		state.Waves = make(map[uint64]*Wave)
 	}
+	if state.DataCentres == nil {
+		state.DataCentres = make(DataCentres)
+	}
 }
 
 func (state *State) recountUsage(job *Job) {
