conductor: refuse jobs that are forecast to finish too late

Every well-formed job was accepted, so that under overload all of them waited and the callers of most got nothing. With [Staged] Admission = true, Submit asks the forecaster about a job that is not in the state yet. A refusal has the new code 411, ForecastTooLate, and a time to return that is spread over what callers retry for.

--- a/coder/code.go
+++ b/coder/code.go
@@ -82,6 +82,7 @@
 	LeaseUncertain   Code = 408
 	Quarantined      Code = 409
 	AnswerTooLarge   Code = 410
+	ForecastTooLate  Code = 411
 )
 
 // Codes of the system's own availability and faults.
@@ -167,6 +168,7 @@
 	{LeaseUncertain, "LeaseUncertain", http.StatusConflict, false, true, false, "The worker's lease may not have expired yet, so the worker cannot be declared lost."},
 	{Quarantined, "Quarantined", http.StatusConflict, false, true, false, "The worker is in quarantine."},
 	{AnswerTooLarge, "AnswerTooLarge", http.StatusConflict, false, false, false, "The task ran and returned an answer above the size limit, which was discarded."},
+	{ForecastTooLate, "ForecastTooLate", http.StatusServiceUnavailable, true, true, false, "The job is forecast to finish after its callers have stopped waiting, and was neither accepted nor run, by this or an earlier sending; the answer gives the time to retry after."},
 
 	{NotLeader, "NotLeader", http.StatusServiceUnavailable, false, true, false, "The replica is not the leader; the answer may give the leader's address."},
 	{NoQuorum, "NoQuorum", http.StatusServiceUnavailable, false, true, false, "The cell has no quorum and cannot commit new entries."},
--- a/conductor/advice.go
+++ b/conductor/advice.go
@@ -115,6 +115,7 @@
 		return
 	}
 	conductor.instruments.advice.Update((now - approval.askedAt).Seconds())
+	conductor.observeAdvice(job.Queue, len(advice.Asked), len(advice.Tickets))
 	until := millis(now + conductor.state.Queues[job.Queue].Advised.Validity - ticketMargin)
 	for _, ticket := range advice.Tickets {
 		if worker := conductor.state.Workers[ticket.Worker]; worker != nil {
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -88,6 +88,9 @@
 	StaleAfter time.Duration
 	// GangWait is how long a gang's first task waits for the others.
 	GangWait time.Duration
+	// Admission is true if jobs are refused that are certain to finish after their
+	// callers have stopped waiting.
+	Admission bool
 }
 
 // Conductor is the leader's side of staged jobs. Its exported methods are safe
@@ -127,6 +130,7 @@
 	// summary is that of the last placement pass; nextLoadLogAt is when the load
 	// is logged next.
 	summary       allotter.Summary
+	admission     *admission
 	load          load
 	nextLoadLogAt time.Duration
 	// nextPlanAt is the earliest time of the next placement pass.
@@ -163,6 +167,7 @@
 
 		lostAddresses: make(map[string]time.Duration),
 		instruments:   newInstruments(config.Metrics),
+		admission:     newAdmission(),
 	}
 }
 
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -84,6 +84,11 @@
 
 // newGatedFleet is newFleet with a holdGate.
 func newGatedFleet(t *testing.T, state *stager.State, holdGate chan struct{}) *fleet {
+	return newConfiguredFleet(t, state, holdGate, conductor.Settings{Lease: lease, StaleAfter: time.Minute, GangWait: time.Second})
+}
+
+// newConfiguredFleet is newGatedFleet with other settings.
+func newConfiguredFleet(t *testing.T, state *stager.State, holdGate chan struct{}, settings conductor.Settings) *fleet {
 	c := qt.New(t)
 	if state == nil {
 		state = stager.New()
@@ -113,7 +118,7 @@
 		Answered: func(stager.InquiryID) {},
 		Lost:     func() []stager.InquiryID { return nil },
 		Withdraw: func(stager.StepID) {},
-		Settings: conductor.Settings{Lease: lease, StaleAfter: time.Minute, GangWait: time.Second},
+		Settings: settings,
 		Logger:   log.NewNopLogger(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/conductor/plan.go
+++ b/conductor/plan.go
@@ -109,6 +109,7 @@
 		"Starts", conductor.load.starts, "RepeatedStarts", conductor.load.repeatedStarts, "Holds", conductor.load.holds, "Probes", conductor.load.probes,
 		"Unanswered", conductor.load.unanswered, "Advices", conductor.load.advices, "ProcessorMillis", (processorTime - conductor.load.processorTime).Milliseconds())
 	conductor.load = load{processorTime: processorTime}
+	conductor.logRefusals()
 }
 
 // processorTime returns the processor time that the process has used, or zero if it is
--- a/conductor/request.go
+++ b/conductor/request.go
@@ -58,13 +58,17 @@
 	return coder.Refuse(code, "%v", err)
 }
 
-// Submit accepts a job. A job that was accepted before is acknowledged again.
+// Submit accepts a job, or refuses it if it is forecast to finish too late. A job that was
+// accepted before is acknowledged again, whatever the load.
 func (conductor *Conductor) Submit(ctx context.Context, submit *stager.Submit) *coder.Refusal {
 	return conductor.request(ctx, func() *coder.Refusal {
 		if conductor.state.Jobs[submit.ID] != nil {
 			logger.Info(conductor.config.Logger, "job acknowledged again", "Job", submit.ID)
 			return nil
 		}
+		if refusal := conductor.admit(submit); refusal != nil {
+			return refusal
+		}
 		if err := conductor.applyCommand(&stager.Command{Submit: submit}); err != nil {
 			return toRefusal(coder.Malformed, err)
 		}
--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -178,19 +178,19 @@
 // Decide decides about a job. Returning is the work of refused jobs that have waited
 // longer than it and are still expected to return. It refuses no job that can be on
 // time, and none without a backlog.
-func Decide(question *Question, returning Backlog) (Decision, Forecast) {
+func Decide(question *Question, returning Returning) (Decision, Forecast) {
 	forecast := Finish(question)
 	switch {
 	case question.Fleet.OnTime.Tasks+question.Fleet.Late.Tasks == 0 || forecast.Earliest <= question.Objective:
 		return Accepted, forecast
 	case forecast.Earliest+question.Waited > question.Deadline():
 		return TooLate, forecast
-	case returning.Tasks == 0 || float64(forecast.Earliest+question.Waited) <= givesWayBeyond*float64(question.Deadline()):
+	case returning.Fleet.Tasks == 0 || float64(forecast.Earliest+question.Waited) <= givesWayBeyond*float64(question.Deadline()):
 		return Accepted, forecast
 	}
 	behind := *question
-	behind.Fleet.OnTime = behind.Fleet.OnTime.Add(returning)
-	behind.Account.OnTime = behind.Account.OnTime.Add(returning)
+	behind.Fleet.OnTime = behind.Fleet.OnTime.Add(returning.Fleet)
+	behind.Account.OnTime = behind.Account.OnTime.Add(returning.Account)
 	if late := Finish(&behind); late.Earliest+question.Waited > question.Deadline() {
 		return GivesWay, late
 	}
--- a/forecaster/forecaster_test.go
+++ b/forecaster/forecaster_test.go
@@ -175,22 +175,22 @@
 	c := qt.New(t)
 	refused := forecaster.NewRefused()
 	work := forecaster.Backlog{Work: 4_000_000, Demand: 4000, Tasks: 400}
-	refused.Remember(forecaster.RefusedJob{ID: "old", Pool: "p", Ahead: work, First: 100})
+	refused.Remember(forecaster.RefusedJob{ID: "old", Pool: "p", ClientAccount: "a", Work: work, First: 100})
 	room := &forecaster.Room{}
 	room.Release(0, 0)
 	room.Release(100, 1000)
 	ahead := forecaster.Backlog{Work: 4_000_000, Demand: 4000, Tasks: 400}
 	question := &forecaster.Question{Room: room, Fleet: forecaster.Ahead{OnTime: ahead}, Account: forecaster.Ahead{OnTime: ahead}, AccountShare: 1, ApprovedShare: 1, Need: 10, Path: 100, Objective: 820}
-	newcomer, _ := forecaster.Decide(question, refused.Returning("p", 0, refused.Since("new", 500), 500))
+	newcomer, _ := forecaster.Decide(question, refused.Returning(&forecaster.RefusedJob{Pool: "p", ClientAccount: "a", First: refused.Since("new", 500)}, 500))
 	c.Check(newcomer, qt.Equals, forecaster.GivesWay)
-	returned, _ := forecaster.Decide(question, refused.Returning("p", 0, refused.Since("old", 500), 500))
+	returned, _ := forecaster.Decide(question, refused.Returning(&forecaster.RefusedJob{Pool: "p", ClientAccount: "a", First: refused.Since("old", 500)}, 500))
 	c.Check(returned, qt.Equals, forecaster.Accepted)
 	question.Objective = 100_000
-	onTime, _ := forecaster.Decide(question, work)
+	onTime, _ := forecaster.Decide(question, forecaster.Returning{Fleet: work, Account: work})
 	c.Check(onTime, qt.Equals, forecaster.Accepted)
 	refused.Accept("old")
-	c.Check(refused.Returning("p", 0, 500, 500).Tasks, qt.Equals, 0)
-	refused.Remember(forecaster.RefusedJob{ID: "gone", Pool: "p", Ahead: work, First: 600})
+	c.Check(refused.Returning(&forecaster.RefusedJob{Pool: "p", First: 500}, 500).Fleet.Tasks, qt.Equals, 0)
+	refused.Remember(forecaster.RefusedJob{ID: "gone", Pool: "p", ClientAccount: "a", Work: work, First: 600})
 	refused.Forget(600 + forecaster.ReturnSpan + 1)
 	c.Check(refused.Since("gone", 9000), qt.Equals, modeller.Millis(9000))
 }
@@ -202,11 +202,11 @@
 	room := &forecaster.Room{}
 	room.Release(50_000, 1000)
 	question := &forecaster.Question{Room: room, AccountShare: 1, ApprovedShare: 1, Need: 100, Path: 10, Objective: 20}
-	decision, _ := forecaster.Decide(question, forecaster.Backlog{})
+	decision, _ := forecaster.Decide(question, forecaster.Returning{})
 	c.Check(decision, qt.Equals, forecaster.Accepted)
 	room.Release(0, 1000)
 	question.Fleet.OnTime = forecaster.Backlog{Work: 500_000, Demand: 500, Tasks: 5}
-	decision, _ = forecaster.Decide(question, forecaster.Backlog{})
+	decision, _ = forecaster.Decide(question, forecaster.Returning{})
 	c.Check(decision, qt.Equals, forecaster.Accepted)
 }
 
@@ -218,10 +218,10 @@
 	room.Release(100, 1000)
 	flood := forecaster.Backlog{Work: 100_000_000, Demand: 100_000, Tasks: 10_000}
 	question := &forecaster.Question{Room: room, Fleet: forecaster.Ahead{OnTime: flood}, AccountShare: 0.5, ApprovedShare: 1, Need: 10, Path: 1000, Objective: 2500}
-	decision, _ := forecaster.Decide(question, forecaster.Backlog{})
+	decision, _ := forecaster.Decide(question, forecaster.Returning{})
 	c.Check(decision, qt.Equals, forecaster.Accepted)
 	question.Account = question.Fleet
-	decision, _ = forecaster.Decide(question, forecaster.Backlog{})
+	decision, _ = forecaster.Decide(question, forecaster.Returning{})
 	c.Check(decision, qt.Equals, forecaster.TooLate)
 }
 
@@ -232,6 +232,6 @@
 	}
 	question, _ := model.question(model.newJob(&kinds[2], 1), 0)
 	for b.Loop() {
-		forecaster.Decide(question, forecaster.Backlog{})
+		forecaster.Decide(question, forecaster.Returning{})
 	}
 }
--- a/forecaster/model_test.go
+++ b/forecaster/model_test.go
@@ -190,8 +190,12 @@
 	return model.view
 }
 
+func (model *model) refusedJob(job *job, first modeller.Millis) *forecaster.RefusedJob {
+	return &forecaster.RefusedJob{ID: stager.JobID(job.id), ClientAccount: job.account, Rank: model.rank(job), Work: job.backlog(), First: first}
+}
+
 // question returns what the leader asks about a job, and the work of refused jobs.
-func (model *model) question(asked *job, since modeller.Millis) (*forecaster.Question, forecaster.Backlog) {
+func (model *model) question(asked *job, since modeller.Millis) (*forecaster.Question, forecaster.Returning) {
 	view := model.refresh()
 	sharing := len(view.accounts)
 	if view.accounts[asked.account] == nil {
@@ -202,7 +206,7 @@
 		Now: model.now - view.at, Room: &view.room, Fleet: view.fleet.Before(place), Account: view.accounts[asked.account].Before(place),
 		AccountShare: 1 / float64(sharing), ApprovedShare: 1, Need: asked.need(), Path: asked.path, Objective: asked.objective, Waited: model.now - since,
 	}
-	return question, model.refused.Returning("", model.rank(asked), since, model.now)
+	return question, model.refused.Returning(model.refusedJob(asked, since), model.now)
 }
 
 // place starts what fits, in order. A gang starts as a whole.
@@ -247,7 +251,7 @@
 		if decision, _ := forecaster.Decide(question, returning); decision != forecaster.Accepted {
 			model.refusals++
 			asked := submission.submitted
-			model.refused.Remember(forecaster.RefusedJob{ID: stager.JobID(asked.id), Rank: model.rank(asked), Ahead: asked.backlog(), First: model.now})
+			model.refused.Remember(*model.refusedJob(asked, model.now))
 			wait := (forecaster.ReturnAfter(model.now-since, model.random.Float64()) + 999) / 1000 * 1000
 			if submission.tries < 3 && model.now+wait-since <= forecaster.ReturnSpan {
 				submission.at, submission.tries = model.now+wait, submission.tries+1
--- a/forecaster/refused.go
+++ b/forecaster/refused.go
@@ -19,10 +19,11 @@
 
 // RefusedJob is a job that was refused and may return.
 type RefusedJob struct {
-	ID    stager.JobID
-	Pool  stager.PoolName
-	Rank  int
-	Ahead Backlog
+	ID            stager.JobID
+	Pool          stager.PoolName
+	ClientAccount modeller.ClientAccountName
+	Rank          int
+	Work          Backlog
 	// First is when the job was first refused.
 	First modeller.Millis
 }
@@ -79,17 +80,27 @@
 	}
 }
 
-// Returning returns the work of a pool's refused jobs, up to a rank, that were first
-// refused before a time and can still return.
-func (refused *Refused) Returning(pool stager.PoolName, rank int, before, now modeller.Millis) Backlog {
-	var sum Backlog
+// Returning is the work of refused jobs that may return: of all client accounts, and the
+// part of one.
+type Returning struct {
+	Fleet, Account Backlog
+}
+
+// Returning returns the work that may return before a job: that of its pool, up to its
+// rank, that was first refused before it was. The job's First is now if it is new.
+func (refused *Refused) Returning(asked *RefusedJob, now modeller.Millis) Returning {
+	var sum Returning
 	for index := range refused.jobs {
 		job := &refused.jobs[index]
-		if job.First >= before {
+		if job.First >= asked.First {
 			break
 		}
-		if job.ID != "" && job.Pool == pool && job.Rank <= rank && job.First+ReturnSpan >= now {
-			sum = sum.Add(job.Ahead)
+		if job.ID == "" || job.Pool != asked.Pool || job.Rank > asked.Rank || job.First+ReturnSpan < now {
+			continue
+		}
+		sum.Fleet = sum.Fleet.Add(job.Work)
+		if job.ClientAccount == asked.ClientAccount {
+			sum.Account = sum.Account.Add(job.Work)
 		}
 	}
 	return sum
