Entries refuse locally what the leader's forecast refuses beyond doubt

Under a flood each refused job still cost the leader a call and a decision. The leader now sends entries, with its heartbeats, the classes of jobs that it refuses: those of a queue and client account of which it has accepted none for 3.5 s and refuses all. It accepts none of them while a notice may be in use, and a new leader with a backlog accepts none for 850 ms, so that no entry refuses the retry of a job that was accepted. An entry counts a notice's age from its own request for the stream, and uses it for 750 ms and only within the session.

--- a/conductor/admit.go
+++ b/conductor/admit.go
@@ -32,6 +32,10 @@
 	changes  map[stager.PoolName]workersChange
 	refused  *forecaster.Refused
 	refusals map[refusalKey]int
+	// classes are those of which a job was submitted, and closures how many of them the
+	// latest notice closes.
+	classes  map[classKey]*jobClass
+	closures int
 }
 
 // poolView is what is free in a pool and what waits for it.
@@ -87,6 +91,7 @@
 	return &admission{
 		pools: make(map[stager.PoolName]*poolView), approvedShares: make(map[modeller.QueueName]float64),
 		changes: make(map[stager.PoolName]workersChange), refused: forecaster.NewRefused(), refusals: make(map[refusalKey]int),
+		classes: make(map[classKey]*jobClass),
 	}
 }
 
@@ -107,6 +112,11 @@
 		slices.ContainsFunc(submit.Steps, func(step stager.Step) bool { return step.Lasting }) {
 		return nil
 	}
+	if conductor.closed(submit) {
+		refusal := coder.Refuse(coder.ForecastTooLate, "jobs of queue %s and client account %s would finish after their callers have stopped waiting", submit.Queue, submit.ClientAccount)
+		refusal.RetryAfter = returnAfter(0)
+		return conductor.countRefusal(refusal, causeTooLate, submit)
+	}
 	conductor.refreshView()
 	if refusal := conductor.checkGangs(submit, queue); refusal != nil {
 		return refusal
@@ -118,7 +128,7 @@
 	}
 	refused, now := conductor.admission.refused, conductor.elapsed()
 	since := refused.Since(submit.ID, now)
-	question := conductor.question(submit, queue, pool, shape, now-since)
+	question := conductor.question(queue, submit.ClientAccount, pool, shape, now-since)
 	asked := forecaster.RefusedJob{ID: submit.ID, Pool: queue.Pool, ClientAccount: submit.ClientAccount, Rank: queue.Rank, Work: shape.first, First: since}
 	decision, forecast := forecaster.Decide(question, refused.Returning(&asked, now))
 	if decision == forecaster.Accepted {
@@ -130,19 +140,26 @@
 	cause := causeTooLate
 	if decision == forecaster.GivesWay {
 		cause = causeGivesWay
+	} else {
+		conductor.class(submit).refused.Extend(submit.Steps)
 	}
 	refusal := coder.Refuse(coder.ForecastTooLate, "the job would finish after %d ms at the earliest, and its callers wait for %d ms", forecast.Earliest, question.Deadline())
-	refusal.RetryAfter = time.Duration(forecaster.ReturnAfter(now-since, rand.Float64())) * time.Millisecond
+	refusal.RetryAfter = returnAfter(now - since)
 	return conductor.countRefusal(refusal, cause, submit)
 }
 
+// returnAfter returns when the caller of a job that has waited for a time may return.
+func returnAfter(waited modeller.Millis) time.Duration {
+	return time.Duration(forecaster.ReturnAfter(waited, rand.Float64())) * time.Millisecond
+}
+
 // question returns the question to the forecaster about a job.
-func (conductor *Conductor) question(submit *stager.Submit, queue *stager.Queue, pool *poolView, shape jobShape, waited modeller.Millis) *forecaster.Question {
+func (conductor *Conductor) question(queue *stager.Queue, account modeller.ClientAccountName, pool *poolView, shape jobShape, waited modeller.Millis) *forecaster.Question {
 	place := conductor.placeOf(queue, shape)
 	question := &forecaster.Question{
 		Now: conductor.elapsed() - conductor.admission.viewedAt, Room: &pool.room,
-		Fleet: pool.waiting.Before(place), Account: pool.accounts[submit.ClientAccount].Before(place),
-		AccountShare: conductor.admission.accountShare(pool, submit.ClientAccount), ApprovedShare: 1,
+		Fleet: pool.waiting.Before(place), Account: pool.accounts[account].Before(place),
+		AccountShare: conductor.admission.accountShare(pool, account), ApprovedShare: 1,
 		Need: shape.need, Path: shape.path, Objective: objectiveOf(queue, shape.path), Waited: waited,
 	}
 	if share, known := conductor.admission.approvedShares[queue.Name]; known && queue.Advised != nil {
@@ -164,28 +181,16 @@
 // shapeOf returns the shape of a job that has not begun. Its steps must be valid.
 func (conductor *Conductor) shapeOf(queue modeller.QueueName, steps []stager.Step) jobShape {
 	job := &stager.Job{Steps: steps}
-	shape := jobShape{path: slices.Max(job.CriticalPaths(func(declared modeller.Millis) modeller.Millis { return conductor.runTime(queue, declared) }))}
+	shape := jobShape{need: forecaster.StartNeed(steps), path: slices.Max(job.CriticalPaths(func(declared modeller.Millis) modeller.Millis { return conductor.runTime(queue, declared) }))}
 	for index := range steps {
 		step := &steps[index]
 		if len(step.After) == 0 {
-			if need := needOf(step, step.Tasks); shape.first.Tasks == 0 || need < shape.need {
-				shape.need = need
-			}
 			shape.first = shape.first.Add(conductor.backlogOf(queue, step, step.Tasks))
 		}
 	}
 	return shape
 }
 
-// needOf returns what some waiting tasks of a step need at once.
-func needOf(step *stager.Step, tasks uint32) forecaster.Processors {
-	need := forecaster.Processors(step.Demand().MilliProcessors)
-	if step.Gang {
-		need *= forecaster.Processors(tasks)
-	}
-	return need
-}
-
 // backlogOf returns the work of some waiting tasks of a step.
 func (conductor *Conductor) backlogOf(queue modeller.QueueName, step *stager.Step, tasks uint32) forecaster.Backlog {
 	demand := forecaster.Processors(step.Demand().MilliProcessors) * forecaster.Processors(tasks)
@@ -207,7 +212,7 @@
 		}
 		if fit := conductor.fittingTasks(step, queue.Pool); fit < int64(step.Tasks) && conductor.workersSettled(queue.Pool) {
 			refusal := coder.Refuse(coder.ForecastTooLate, "step %d needs %d tasks at once, and the workers present hold %d", index, step.Tasks, fit)
-			refusal.RetryAfter = time.Duration(forecaster.ReturnAfter(0, rand.Float64())) * time.Millisecond
+			refusal.RetryAfter = returnAfter(0)
 			return conductor.countRefusal(refusal, causeWorkers, submit)
 		}
 	}
@@ -420,7 +425,7 @@
 				continue
 			}
 			conductor.admission.addWork(conductor.admission.pool(queue.Pool), job.ClientAccount,
-				forecaster.Place{Rank: queue.Rank, Need: needOf(step, tasks), LatestStart: latestStart - now}, ahead)
+				forecaster.Place{Rank: queue.Rank, Need: forecaster.Need(step, tasks), LatestStart: latestStart - now}, ahead)
 		}
 	}
 }
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -20,6 +20,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -129,8 +130,12 @@
 	instruments *instruments
 	// summary is that of the last placement pass; nextLoadLogAt is when the load
 	// is logged next.
-	summary       allotter.Summary
-	admission     *admission
+	summary   allotter.Summary
+	admission *admission
+	// notice is the latest notice for the entries; nil if there is none.
+	notice atomic.Pointer[Notice]
+	// acceptsAt is from when jobs may be accepted, on Clock.
+	acceptsAt     time.Duration
 	load          load
 	nextLoadLogAt time.Duration
 	// nextPlanAt is the earliest time of the next placement pass.
@@ -168,6 +173,7 @@
 		lostAddresses: make(map[string]time.Duration),
 		instruments:   newInstruments(config.Metrics),
 		admission:     newAdmission(),
+		acceptsAt:     acceptsFrom(&config),
 	}
 }
 
@@ -321,6 +327,7 @@
 	conductor.expireInquiries()
 	conductor.forgetLosses()
 	conductor.logLoad()
+	conductor.publishNotice()
 	conductor.placementPending = true
 }
 
--- a/conductor/request.go
+++ b/conductor/request.go
@@ -61,6 +61,7 @@
 // Submit accepts a job, or refuses it if it is forecast to finish too late. A job that was
 // accepted before is acknowledged again, whatever the load.
 func (conductor *Conductor) Submit(ctx context.Context, submit *stager.Submit) *coder.Refusal {
+	conductor.awaitAcceptance(ctx)
 	return conductor.request(ctx, func() *coder.Refusal {
 		if conductor.state.Jobs[submit.ID] != nil {
 			logger.Info(conductor.config.Logger, "job acknowledged again", "Job", submit.ID)
@@ -72,6 +73,7 @@
 		if err := conductor.applyCommand(&stager.Command{Submit: submit}); err != nil {
 			return toRefusal(coder.Malformed, err)
 		}
+		conductor.noteAccepted(submit)
 		conductor.placementPending = true
 		conductor.instruments.jobsAccepted.Inc()
 		logger.Info(conductor.config.Logger, "job accepted", "Job", submit.ID, "ClientAccount", submit.ClientAccount, "Queue", submit.Queue,
--- a/internal/cellrunner/stagedservice.go
+++ b/internal/cellrunner/stagedservice.go
@@ -165,6 +165,7 @@
 	}
 	ctx, cancel := leadership.boundContext(ctx)
 	defer cancel()
+	began := runner.clock()
 	var sentReplicas []string
 	sendInquiry := func(inquiry *stager.Inquiry) error {
 		if !runner.node.Load().Leads() {
@@ -174,6 +175,11 @@
 		if current := runner.replicaAddresses(); !slices.Equal(current, sentReplicas) {
 			message.Replicas, sentReplicas = current, current
 		}
+		if conductor := leadership.stagedService.conductor.Load(); conductor != nil && len(inquiry.Workers) == 0 {
+			if notice := conductor.Notice(); notice != nil {
+				message.Forecast, message.ForecastAt = notice.Data, notice.At-began
+			}
+		}
 		return send(message)
 	}
 	if request.Listens {
--- a/messenger/staged.go
+++ b/messenger/staged.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/dotterelrill/dotterelrill/coder"
 	"github.com/dotterelrill/dotterelrill/modeller"
@@ -135,6 +136,11 @@
 	// Replicas are the addresses of the cell's replicas. They are set in the
 	// first message and after a change.
 	Replicas []string `cbor:",omitempty"`
+	// Forecast is the leader's latest forecaster.Notice, encoded once for all processes,
+	// if it has one. It was made ForecastAt after the stream began, on the leader's clock;
+	// that is negative if it was made before.
+	Forecast   []byte        `cbor:",omitempty"`
+	ForecastAt time.Duration `cbor:",omitzero"`
 }
 
 // WaveRequest starts a maintenance wave, or asks for the state of wave Number
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 
 	"github.com/dotterelrill/dotterelrill/coder"
@@ -36,6 +37,11 @@
 	// adviser, which only follows the leader and its list of replicas.
 	Ask    func(context.Context, *stager.Inquiry) stager.Advice
 	Logger log.Logger
+	// Clock is a monotonic clock that also advances while the VM is suspended. If it is
+	// nil, the kernel's is used.
+	Clock func() time.Duration
+	// Metrics counts the jobs that are refused without asking the leader; it may be nil.
+	Metrics *metrics.Set
 }
 
 // Relayer forwards requests to the leader. It is safe for concurrent use.
@@ -62,6 +68,12 @@
 
 // New returns a Relayer that knows no leader until Run is called.
 func New(config Config) *Relayer {
+	if config.Clock == nil {
+		config.Clock = bootTime
+	}
+	if config.Metrics == nil {
+		config.Metrics = metrics.NewSet()
+	}
 	relayer := &Relayer{config: config, sessionBegun: make(chan struct{})}
 	relayer.heartbeats = gatherer.New(gatherer.Config[stager.Announcement, *coder.Refusal]{
 		Wait: heartbeatBatchWait, MaxBatch: maxHeartbeatBatch, Timeout: heartbeatBatchTimeout, Send: relayer.sendHeartbeats,
@@ -71,9 +83,13 @@
 
 func refusalOf(reply *messenger.StagedReply) *coder.Refusal { return reply.Refusal }
 
-// Submit forwards a job. It sets the request's Cell.
+// Submit forwards a job, unless the leader's forecast refuses it beyond doubt. It sets
+// the request's Cell.
 func (relayer *Relayer) Submit(ctx context.Context, request *messenger.StagedSubmitRequest) *coder.Refusal {
 	request.Cell = relayer.config.Cell
+	if refusal := relayer.refuseByForecast(request); refusal != nil {
+		return refusal
+	}
 	_, refusal := forward(ctx, relayer, true, messenger.CellClient.StagedSubmit, refusalOf, request,
 		func(request *messenger.StagedSubmitRequest) { request.Resent = true })
 	return refusal
--- a/relayer/session.go
+++ b/relayer/session.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/dotterelrill/dotterelrill/forecaster"
 	"github.com/dotterelrill/dotterelrill/internal/logger"
 	"github.com/dotterelrill/dotterelrill/messenger"
 )
@@ -31,17 +33,27 @@
 	client messenger.CellClient
 	// ctx ends when the leader is lost.
 	ctx context.Context
+	// forecast is what the leader refuses beyond doubt; nil before it has sent it.
+	forecast atomic.Pointer[forecast]
+}
+
+// forecast is a notice of the leader's forecast.
+type forecast struct {
+	forecaster.Notice
+	// until is when the notice becomes stale, on the clock of bootTime.
+	until time.Duration
 }
 
 // beginSession makes the leader available to waiting requests. The returned function
 // ends the session.
-func (relayer *Relayer) beginSession(ctx context.Context, client messenger.CellClient) (context.Context, context.CancelFunc) {
+func (relayer *Relayer) beginSession(ctx context.Context, client messenger.CellClient) (*session, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	relayer.mutex.Lock()
 	defer relayer.mutex.Unlock()
-	relayer.session = &session{client: client, ctx: ctx}
+	session := &session{client: client, ctx: ctx}
+	relayer.session = session
 	close(relayer.sessionBegun)
-	return ctx, sync.OnceFunc(func() {
+	return session, sync.OnceFunc(func() {
 		relayer.mutex.Lock()
 		defer relayer.mutex.Unlock()
 		cancel()
@@ -99,19 +111,23 @@
 // the addresses of the replicas. It abandons a leader that sends nothing for
 // leaderTimeout, since a network cut or a frozen process breaks no connection.
 func (relayer *Relayer) followLeader(ctx context.Context, client messenger.CellClient) error {
-	streamCtx, end := relayer.beginSession(ctx, client)
+	session, end := relayer.beginSession(ctx, client)
 	defer end()
+	requestedAt := relayer.config.Clock()
 	inactivityTimer := time.AfterFunc(leaderTimeout, func() {
 		relayer.config.Locator.MarkUnresponsive(client)
 		end()
 	})
 	defer inactivityTimer.Stop()
 	request := &messenger.InquiriesRequest{Cell: relayer.config.Cell, Entry: relayer.config.Name, Listens: relayer.config.Ask == nil}
-	return client.Inquiries(streamCtx, request, func(message *messenger.InquiryMessage) error {
+	return client.Inquiries(session.ctx, request, func(message *messenger.InquiryMessage) error {
 		inactivityTimer.Reset(leaderTimeout)
 		if len(message.Replicas) > 0 {
 			relayer.config.Locator.SetAddresses(message.Replicas)
 		}
+		if len(message.Forecast) > 0 {
+			relayer.keepForecast(session, message, requestedAt)
+		}
 		if len(message.Inquiry.Workers) > 0 && relayer.config.Ask != nil {
 			go relayer.answerInquiry(ctx, &message.Inquiry)
 		}
