--- a/conductor/load_test.go
+++ b/conductor/load_test.go
@@ -83,7 +83,7 @@
 }
 
 // loadResult counts the jobs of one class.
-type loadResult struct{ submitted, onTime, ended int }
+type loadResult struct{ submitted, onTime, ended, refused int }
 
 // loadWorker is a simulated worker. Its mutex guards everything but the rig.
 type loadWorker struct {
@@ -96,7 +96,10 @@
 	ends    uint64
 }
 
-func newLoadRig(t testing.TB) *loadRig {
+func newLoadRig(t testing.TB) *loadRig { return newAdmittingLoadRig(t, false) }
+
+// newAdmittingLoadRig is newLoadRig with or without admission control.
+func newAdmittingLoadRig(t testing.TB, admits bool) *loadRig {
 	rig := &loadRig{
 		c: qt.New(t), startedAt: time.Now(), workers: make(map[modeller.WorkerName]*loadWorker), state: stager.New(),
 		submitted: make(map[stager.JobID]time.Time), waits: make(map[modeller.QueueName][]time.Duration), results: make(map[modeller.QueueName]*loadResult), advices: make(map[modeller.QueueName]int),
@@ -115,7 +118,7 @@
 	rig.conductor = conductor.New(conductor.Config{
 		State: copied, Clock: rig.clock, Now: rig.now, Leads: func() bool { return true }, Propose: rig.propose,
 		Start: rig.start, Stop: rig.stop, Hold: rig.hold, Ask: rig.inquirer.Ask, Answered: rig.inquirer.Answered, Lost: rig.inquirer.Lost, Withdraw: rig.inquirer.Withdraw, IdleAdvisers: rig.inquirer.Idle,
-		Settings: conductor.Settings{Lease: 6 * time.Second, StaleAfter: 4 * time.Second, GangWait: 5 * time.Second}, Logger: log.NewNopLogger(),
+		Settings: conductor.Settings{Lease: 6 * time.Second, StaleAfter: 4 * time.Second, GangWait: 5 * time.Second, Admission: admits}, Logger: log.NewNopLogger(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(func() {
@@ -359,6 +362,7 @@
 	if refusal := rig.conductor.Submit(ctx, submit); refusal != nil {
 		rig.mutex.Lock()
 		delete(rig.submitted, id)
+		rig.results[class.queue].refused++
 		rig.mutex.Unlock()
 	}
 }
@@ -374,7 +378,7 @@
 		if len(waits) == 0 {
 			continue
 		}
-		text += fmt.Sprintf("%-18s submitted %4d ended %4d on time %4d; first start: half within %s, 95%% within %s\n", class.queue, result.submitted, result.ended, result.onTime,
+		text += fmt.Sprintf("%-18s submitted %4d refused %4d ended %4d on time %4d; first start: half within %s, 95%% within %s\n", class.queue, result.submitted, result.refused, result.ended, result.onTime,
 			waits[len(waits)/2].Round(time.Millisecond), waits[len(waits)*95/100].Round(time.Millisecond))
 	}
 	return text
@@ -441,3 +445,20 @@
 		c.Check(half <= 120*time.Millisecond, qt.IsTrue, qt.Commentf("half within %s", half))
 	})
 }
+
+// TestTheUsualLoadIsNotRefused guards against admission control that refuses jobs while
+// the fleet has room for all of them.
+func TestTheUsualLoadIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		rig := newAdmittingLoadRig(t, true)
+		rig.play(t.Context(), 8*time.Second, 1)
+		t.Log("\n" + rig.report())
+		for at := range loadClasses {
+			rig.mutex.Lock()
+			result := *rig.results[loadClasses[at].queue]
+			rig.mutex.Unlock()
+			c.Check(result.refused, qt.Equals, 0, qt.Commentf("%s", loadClasses[at].queue))
+		}
+	})
+}
