forecaster: late work gets only what work on time leaves

The forecast of a job that can only be late counted with all capacity, though jobs that can be on time go first, also those submitted later. It now counts with what such work has left of the capacity in each of the last 10 seconds; shorter bursts do not count, as they may end at any time.

Tests of forecaster, conductor and relayer pass.

--- a/conductor/admit.go
+++ b/conductor/admit.go
@@ -29,7 +29,9 @@
 	// approvedShares are the parts of the workers that were approved lately, by queue.
 	approvedShares map[modeller.QueueName]float64
 	// changes are the latest changes of the workers of a pool.
-	changes  map[stager.PoolName]workersChange
+	changes map[stager.PoolName]workersChange
+	// served is the work that was started on time, by pool.
+	served   map[stager.PoolName]*forecaster.Served
 	refused  *forecaster.Refused
 	refusals map[refusalKey]int
 	// classes are those of which a job was submitted, and closures how many of them the
@@ -90,7 +92,7 @@
 func newAdmission() *admission {
 	return &admission{
 		pools: make(map[stager.PoolName]*poolView), approvedShares: make(map[modeller.QueueName]float64),
-		changes: make(map[stager.PoolName]workersChange), refused: forecaster.NewRefused(), refusals: make(map[refusalKey]int),
+		changes: make(map[stager.PoolName]workersChange), served: make(map[stager.PoolName]*forecaster.Served), refused: forecaster.NewRefused(), refusals: make(map[refusalKey]int),
 		classes: make(map[classKey]*jobClass),
 	}
 }
@@ -159,9 +161,12 @@
 	question := &forecaster.Question{
 		Now: conductor.elapsed() - conductor.admission.viewedAt, Room: &pool.room,
 		Fleet: pool.waiting.Before(place), Account: pool.accounts[account].Before(place),
-		AccountShare: conductor.admission.accountShare(pool, account), ApprovedShare: 1,
+		AccountShare: conductor.admission.accountShare(pool, account), ApprovedShare: 1, LateShare: 1,
 		Need: shape.need, Path: shape.path, Objective: objectiveOf(queue, shape.path), Waited: waited,
 	}
+	if served := conductor.admission.served[queue.Pool]; served != nil {
+		question.LateShare = served.LateShare(conductor.elapsed(), pool.room.Total())
+	}
 	if share, known := conductor.admission.approvedShares[queue.Name]; known && queue.Advised != nil {
 		question.ApprovedShare = min(1, share+approvalMargin)
 	}
@@ -180,8 +185,7 @@
 
 // shapeOf returns the shape of a job that has not begun. Its steps must be valid.
 func (conductor *Conductor) shapeOf(queue modeller.QueueName, steps []stager.Step) jobShape {
-	job := &stager.Job{Steps: steps}
-	shape := jobShape{need: forecaster.StartNeed(steps), path: slices.Max(job.CriticalPaths(func(declared modeller.Millis) modeller.Millis { return conductor.runTime(queue, declared) }))}
+	shape := jobShape{need: forecaster.StartNeed(steps), path: slices.Max(conductor.pathsOf(&stager.Job{Queue: queue, Steps: steps}))}
 	for index := range steps {
 		step := &steps[index]
 		if len(step.After) == 0 {
@@ -293,6 +297,30 @@
 	shares[queue] = share
 }
 
+// noteStarted records work that was started while its job can be on time.
+func (conductor *Conductor) noteStarted(job *stager.Job, place *stager.Place) {
+	queue := conductor.state.Queues[job.Queue]
+	if !conductor.config.Settings.Admission || queue == nil {
+		return
+	}
+	step, paths := &job.Steps[place.Step.Step], conductor.pathsOf(job)
+	released := max(job.Schedule.Due(place.Step.Occurrence), job.Accepted)
+	if conductor.state.Now > released+objectiveOf(queue, slices.Max(paths))-paths[place.Step.Step] {
+		return
+	}
+	served := conductor.admission.served[queue.Pool]
+	if served == nil {
+		served = &forecaster.Served{}
+		conductor.admission.served[queue.Pool] = served
+	}
+	served.Add(conductor.elapsed(), conductor.backlogOf(job.Queue, step, uint32(len(place.Tasks))).Work)
+}
+
+// pathsOf returns a job's longest chains of expected run times, by step.
+func (conductor *Conductor) pathsOf(job *stager.Job) []modeller.Millis {
+	return job.CriticalPaths(func(declared modeller.Millis) modeller.Millis { return conductor.runTime(job.Queue, declared) })
+}
+
 // refreshView reads the view from the state if it is due.
 func (conductor *Conductor) refreshView() {
 	began := conductor.config.Clock()
@@ -410,7 +438,7 @@
 				continue
 			}
 			if paths == nil {
-				paths = job.CriticalPaths(func(declared modeller.Millis) modeller.Millis { return conductor.runTime(job.Queue, declared) })
+				paths = conductor.pathsOf(job)
 			}
 			step, released := &job.Steps[index], max(due, job.Accepted)
 			objective := objectiveOf(queue, slices.Max(paths))
--- a/conductor/plan.go
+++ b/conductor/plan.go
@@ -38,6 +38,7 @@
 			if firstPlacement {
 				conductor.instruments.wait.Update(float64(conductor.state.Now-job.Accepted) / 1000)
 			}
+			conductor.noteStarted(job, place)
 			conductor.startAttempts(place)
 			return nil
 		},
--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -67,6 +67,9 @@
 	// AccountShare is the part of the capacity that the account gets at least while
 	// others wait, from 0 to 1.
 	AccountShare float64
+	// LateShare is the largest part of the capacity that may be expected to be left for
+	// late work, above 0 and up to 1.
+	LateShare float64
 	// ApprovedShare is the largest part of the workers that may be expected to be
 	// approved for the job, from 0 to 1.
 	ApprovedShare float64
@@ -123,21 +126,21 @@
 // finish returns the job's finish. While the job can be on time it passes all late
 // work.
 func (question *Question) finish(optimistic bool, path modeller.Millis) modeller.Millis {
-	if onTime := question.wait(question.Fleet.OnTime, question.Account.OnTime, optimistic) + path; onTime <= question.Objective {
+	if onTime := question.wait(question.Fleet.OnTime, question.Account.OnTime, 1, optimistic) + path; onTime <= question.Objective {
 		return onTime
 	}
-	return question.wait(question.Fleet.OnTime.Add(question.Fleet.Late), question.Account.OnTime.Add(question.Account.Late), optimistic) + path
+	return question.wait(question.Fleet.OnTime.Add(question.Fleet.Late), question.Account.OnTime.Add(question.Account.Late), question.LateShare, optimistic) + path
 }
 
-// wait returns how long the job waits for its start. Its account is served by its share
+// wait returns how long the job waits for its start on a part of the capacity. Its account is served by its share
 // or, if others leave more, in the order of all work: the earlier of both counts.
-func (question *Question) wait(fleet, account Backlog, optimistic bool) modeller.Millis {
+func (question *Question) wait(fleet, account Backlog, part float64, optimistic bool) modeller.Millis {
 	if fleet.Tasks == 0 {
 		return 0
 	}
-	start := question.start(fleet, 1, optimistic)
+	start := question.start(fleet, part, optimistic)
 	if question.AccountShare > 0 && account.Tasks < fleet.Tasks {
-		start = min(start, question.start(account, question.AccountShare, optimistic))
+		start = min(start, question.start(account, part*question.AccountShare, optimistic))
 	}
 	return min(Never, max(0, start-question.Now))
 }
--- a/forecaster/forecaster_test.go
+++ b/forecaster/forecaster_test.go
@@ -180,7 +180,7 @@
 	room.Release(0, 0)
 	room.Release(100, 1000)
 	ahead := forecaster.Backlog{Work: 4_000_000, Demand: 4000, Tasks: 400}
-	question := &forecaster.Question{Room: room, Fleet: forecaster.Ahead{OnTime: ahead}, Account: forecaster.Ahead{OnTime: ahead}, AccountShare: 1, ApprovedShare: 1, Need: 10, Path: 100, Objective: 820}
+	question := &forecaster.Question{Room: room, Fleet: forecaster.Ahead{OnTime: ahead}, Account: forecaster.Ahead{OnTime: ahead}, AccountShare: 1, LateShare: 1, ApprovedShare: 1, Need: 10, Path: 100, Objective: 820}
 	newcomer, _ := forecaster.Decide(question, refused.Returning(&forecaster.RefusedJob{Pool: "p", ClientAccount: "a", First: refused.Since("new", 500)}, 500))
 	c.Check(newcomer, qt.Equals, forecaster.GivesWay)
 	returned, _ := forecaster.Decide(question, refused.Returning(&forecaster.RefusedJob{Pool: "p", ClientAccount: "a", First: refused.Since("old", 500)}, 500))
@@ -201,7 +201,7 @@
 	c := qt.New(t)
 	room := &forecaster.Room{}
 	room.Release(50_000, 1000)
-	question := &forecaster.Question{Room: room, AccountShare: 1, ApprovedShare: 1, Need: 100, Path: 10, Objective: 20}
+	question := &forecaster.Question{Room: room, AccountShare: 1, LateShare: 1, ApprovedShare: 1, Need: 100, Path: 10, Objective: 20}
 	decision, _ := forecaster.Decide(question, forecaster.Returning{})
 	c.Check(decision, qt.Equals, forecaster.Accepted)
 	room.Release(0, 1000)
@@ -217,7 +217,7 @@
 	room := &forecaster.Room{}
 	room.Release(100, 1000)
 	flood := forecaster.Backlog{Work: 100_000_000, Demand: 100_000, Tasks: 10_000}
-	question := &forecaster.Question{Room: room, Fleet: forecaster.Ahead{OnTime: flood}, AccountShare: 0.5, ApprovedShare: 1, Need: 10, Path: 1000, Objective: 2500}
+	question := &forecaster.Question{Room: room, Fleet: forecaster.Ahead{OnTime: flood}, AccountShare: 0.5, LateShare: 1, ApprovedShare: 1, Need: 10, Path: 1000, Objective: 2500}
 	decision, _ := forecaster.Decide(question, forecaster.Returning{})
 	c.Check(decision, qt.Equals, forecaster.Accepted)
 	question.Account = question.Fleet
@@ -225,6 +225,28 @@
 	c.Check(decision, qt.Equals, forecaster.TooLate)
 }
 
+// TestLateWorkGetsWhatIsLeft guards against a forecast that takes a burst for lasting, or
+// that gives late work the capacity that work on time has taken throughout.
+func TestLateWorkGetsWhatIsLeft(t *testing.T) {
+	c := qt.New(t)
+	var served forecaster.Served
+	now := modeller.Millis(500)
+	serve := func(seconds int, work forecaster.Work) {
+		for range seconds {
+			served.Add(now, work)
+			now += 1000
+		}
+	}
+	serve(10, 800_000)
+	c.Check(served.LateShare(now-1000, 1000), qt.Equals, 1.0, qt.Commentf("a burst of less than 10 seconds may end"))
+	serve(2, 800_000)
+	c.Check(served.LateShare(now-1000, 1000) < 0.3, qt.IsTrue)
+	c.Check(served.LateShare(now-1000, 4000) > 0.8, qt.IsTrue)
+	serve(1, 100_000)
+	c.Check(served.LateShare(now, 1000) > 0.9, qt.IsTrue)
+	c.Check(served.LateShare(now+60_000, 1000), qt.Equals, 1.0)
+}
+
 func BenchmarkDecide(b *testing.B) {
 	model := newModel(1)
 	for index := range 5000 {
--- a/forecaster/model_test.go
+++ b/forecaster/model_test.go
@@ -108,6 +108,7 @@
 	refusals int
 	passAt   modeller.Millis
 	unranked bool
+	onTime   forecaster.Served
 }
 
 func newModel(seed uint64) *model {
@@ -204,7 +205,7 @@
 	place := forecaster.Place{Rank: model.rank(asked), Need: asked.need(), LatestStart: model.now + asked.objective - asked.path - view.at}
 	question := &forecaster.Question{
 		Now: model.now - view.at, Room: &view.room, Fleet: view.fleet.Before(place), Account: view.accounts[asked.account].Before(place),
-		AccountShare: 1 / float64(sharing), ApprovedShare: 1, Need: asked.need(), Path: asked.path, Objective: asked.objective, Waited: model.now - since,
+		AccountShare: 1 / float64(sharing), LateShare: model.onTime.LateShare(model.now, capacity), ApprovedShare: 1, Need: asked.need(), Path: asked.path, Objective: asked.objective, Waited: model.now - since,
 	}
 	return question, model.refused.Returning(model.refusedJob(asked, since), model.now)
 }
@@ -240,6 +241,9 @@
 	job.waiting--
 	job.running++
 	model.free -= job.kind.size
+	if job.urgency(model.now) == 0 {
+		model.onTime.Add(model.now, forecaster.Work(job.kind.size)*forecaster.Work(job.estimate))
+	}
 	heap.Push(&model.events, event{at: model.now + modeller.Millis(actual), ended: job, expected: model.now + job.estimate})
 }
 
