conductor: an absurd run time refuses nobody else

Declared run times are not bounded. One waiting task of a lower rank with a run time of centuries made the forecast of all others worthless, so that they were refused. A task now counts for at most a minute in a backlog, and paths are bounded; the new test fails without the bound. Sums of work are floats, as declared sizes can exceed an integer.

--- a/conductor/admit.go
+++ b/conductor/admit.go
@@ -83,6 +83,11 @@
 	// gang is refused that does not fit the workers present: after a start they are
 	// announced one by one.
 	workersSettledAfter modeller.Millis = 10_000
+	// maxCountedRunTime bounds what a task counts for in a backlog. Declared run times are
+	// not bounded: a single one could make the forecast of all other jobs worthless.
+	maxCountedRunTime modeller.Millis = 60_000
+	// maxPath bounds a job's path, so that multiples of it are valid times.
+	maxPath modeller.Millis = 1 << 40
 	// approvalSmoothing is the weight of the newest answer of an adviser, and
 	// approvalMargin is added to the mean for the jobs that get more than it.
 	approvalSmoothing = 0.05
@@ -198,7 +203,8 @@
 // backlogOf returns the work of some waiting tasks of a step.
 func (conductor *Conductor) backlogOf(queue modeller.QueueName, step *stager.Step, tasks uint32) forecaster.Backlog {
 	demand := forecaster.Processors(step.Demand().MilliProcessors) * forecaster.Processors(tasks)
-	return forecaster.Backlog{Work: forecaster.Work(demand) * forecaster.Work(conductor.runTime(queue, step.RunTime)), Demand: demand, Tasks: int(tasks)}
+	runTime := min(max(0, conductor.runTime(queue, step.RunTime)), maxCountedRunTime)
+	return forecaster.Backlog{Work: forecaster.Work(demand) * forecaster.Work(runTime), Demand: demand, Tasks: int(tasks)}
 }
 
 // checkGangs refuses a job with a gang that can never fit its client account's limit, or
@@ -318,7 +324,9 @@
 
 // pathsOf returns a job's longest chains of expected run times, by step.
 func (conductor *Conductor) pathsOf(job *stager.Job) []modeller.Millis {
-	return job.CriticalPaths(func(declared modeller.Millis) modeller.Millis { return conductor.runTime(job.Queue, declared) })
+	return job.CriticalPaths(func(declared modeller.Millis) modeller.Millis {
+		return min(max(0, conductor.runTime(job.Queue, declared)), maxPath)
+	})
 }
 
 // refreshView reads the view from the state if it is due.
--- a/conductor/admit_test.go
+++ b/conductor/admit_test.go
@@ -100,6 +100,26 @@
 	off.c.Check(off.offer("new", stager.Schedule{}, wideStep()) == nil, qt.IsTrue)
 }
 
+// TestAnAbsurdRunTimeRefusesNobodyElse guards against a client that shuts out the others
+// by one small job with a run time of centuries.
+func TestAnAbsurdRunTimeRefusesNobodyElse(t *testing.T) {
+	fleet := newRankedFleet(t)
+	for index := range 10 {
+		fleet.announce(fmt.Sprint("w", index), 4)
+	}
+	for index := range 60 {
+		fleet.submitFirst(fmt.Sprint("small", index), singleCoreStep(4))
+	}
+	absurd := singleCoreStep(1)
+	for index, runTime := range []modeller.Millis{1 << 62, 1 << 50, -1 << 62} {
+		absurd.RunTime = runTime
+		fleet.submitFirst(fmt.Sprint("absurd", index), absurd)
+	}
+	fleet.c.Check(fleet.offer("other", stager.Schedule{}, wideStep()) == nil, qt.IsTrue)
+	time.Sleep(300 * time.Millisecond)
+	fleet.c.Check(fleet.offer("later", stager.Schedule{}, wideStep()) == nil, qt.IsTrue)
+}
+
 // TestAcceptedJobsAreServedAfterAFlood guards against an accepted job that is dropped,
 // and against refusals that go on after the backlog is gone.
 func TestAcceptedJobsAreServedAfterAFlood(t *testing.T) {
--- a/conductor/notice.go
+++ b/conductor/notice.go
@@ -137,7 +137,7 @@
 		return false
 	}
 	shortest := jobShape{path: conductor.runTime(queue.Name, shapes.ShortestRun), need: shapes.LeastNeed}
-	longest := jobShape{path: conductor.runTime(queue.Name, shapes.LongestRun) * modeller.Millis(shapes.MostSteps), need: shapes.LeastNeed}
+	longest := jobShape{path: min(conductor.runTime(queue.Name, shapes.LongestRun), maxPath) * modeller.Millis(shapes.MostSteps), need: shapes.LeastNeed}
 	question := conductor.question(queue, account, pool, shortest, 0)
 	question.Path, question.Objective = longest.path, objectiveOf(queue, longest.path)
 	decision, forecast := forecaster.Decide(question, forecaster.Returning{})
--- a/conductor/notice_test.go
+++ b/conductor/notice_test.go
@@ -16,20 +16,31 @@
 	"github.com/dotterelrill/dotterelrill/stager"
 )
 
-// newStarvedFleet returns a fleet with a worker of 4 cores, for which 30 seconds of work
-// wait in a queue of rank 0, and the queue "draw" of rank 1.
-func newStarvedFleet(t *testing.T) *fleet {
-	starved := deployment()
-	starved.Queues[0].Rank = 1
-	starved.Queues = append(starved.Queues, stager.Queue{Name: "first", Host: "h", Prefix: "/f/", Pool: "p", MostFailures: 2, Slack: 20, Allowance: 1000, Timeout: 3000})
-	starved.Accounts[0].Keys = []modeller.KeyHash{"key"}
+// newRankedFleet returns a fleet without workers, with a queue of rank 0 and the queue
+// "draw" of rank 1.
+func newRankedFleet(t *testing.T) *fleet {
+	ranked := deployment()
+	ranked.Queues[0].Rank = 1
+	ranked.Queues = append(ranked.Queues, stager.Queue{Name: "first", Host: "h", Prefix: "/f/", Pool: "p", MostFailures: 2, Slack: 20, Allowance: 1000, Timeout: 3000})
+	ranked.Accounts[0].Keys = []modeller.KeyHash{"key"}
 	state := stager.New()
-	qt.Assert(t, state.Apply(&stager.Batch{Term: 1, Sequence: 1, Now: 1, Commands: []stager.Command{{Begin: &stager.Begin{KeepEnded: 100_000}}, {Deploy: starved}}}), qt.IsNil)
-	fleet := newAdmittingFleet(t, state)
+	qt.Assert(t, state.Apply(&stager.Batch{Term: 1, Sequence: 1, Now: 1, Commands: []stager.Command{{Begin: &stager.Begin{KeepEnded: 100_000}}, {Deploy: ranked}}}), qt.IsNil)
+	return newAdmittingFleet(t, state)
+}
+
+// submitFirst submits a job to the queue of rank 0, which must be accepted.
+func (fleet *fleet) submitFirst(id string, step stager.Step) {
+	submit := &stager.Submit{ID: stager.JobID(id), ClientAccount: "a", Queue: "first", Steps: []stager.Step{step}}
+	fleet.c.Assert(fleet.conductor.Submit(context.Background(), submit) == nil, qt.IsTrue)
+}
+
+// newStarvedFleet returns a ranked fleet with a worker of 4 cores, for which 30 seconds of
+// work wait in the queue of rank 0.
+func newStarvedFleet(t *testing.T) *fleet {
+	fleet := newRankedFleet(t)
 	fleet.announce("w", 4)
 	for index := range 30 {
-		submit := &stager.Submit{ID: stager.JobID(fmt.Sprint("first", index)), ClientAccount: "a", Queue: "first", Steps: []stager.Step{wideStep()}}
-		fleet.c.Assert(fleet.conductor.Submit(context.Background(), submit) == nil, qt.IsTrue)
+		fleet.submitFirst(fmt.Sprint("first", index), wideStep())
 	}
 	return fleet
 }
--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -21,8 +21,9 @@
 type (
 	// Processors is an amount of processor capacity in thousandths of a core.
 	Processors int64
-	// Work is processor capacity times milliseconds.
-	Work int64
+	// Work is processor capacity times milliseconds. Sums of declared sizes may exceed an
+	// integer.
+	Work float64
 )
 
 // Backlog is work that waits for room.
