--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -20,6 +20,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -94,6 +95,9 @@
 	// DataCentres are data centres that may be evacuated before a worker of theirs was
 	// ever announced.
 	DataCentres []string
+	// Admission is true if jobs are refused that are certain to finish after their
+	// callers have stopped waiting.
+	Admission bool
 }
 
 // Conductor is the leader's side of staged jobs. Its exported methods are safe
@@ -132,8 +136,13 @@
 	instruments *instruments
 	// summary is that of the last placement pass, and scarce whether the waiting steps
 	// needed more than what was free; nextLoadLogAt is when the load is logged next.
-	summary       allotter.Summary
-	scarce        bool
+	summary   allotter.Summary
+	scarce    bool
+	admission *admission
+	// notice is the latest notice for the entries; nil if there is none.
+	notice atomic.Pointer[Notice]
+	// acceptsAt is from when jobs may be accepted, on Clock.
+	acceptsAt     time.Duration
 	load          load
 	nextLoadLogAt time.Duration
 	// nextPlanAt is the earliest time of the next placement pass.
@@ -180,6 +189,8 @@
 		evacuations:   make(map[modeller.DataCentreName]bool),
 		moves:         make(map[stager.TaskID]move),
 		instruments:   newInstruments(config.Metrics),
+		admission:     newAdmission(),
+		acceptsAt:     acceptsFrom(&config),
 	}
 }
 
@@ -335,6 +346,7 @@
 	conductor.forgetLosses()
 	conductor.checkEvacuations()
 	conductor.logLoad()
+	conductor.publishNotice()
 	conductor.placementPending = true
 }
 
--- a/conductor/plan.go
+++ b/conductor/plan.go
@@ -38,6 +38,7 @@
 			if firstPlacement {
 				conductor.instruments.wait.Update(float64(conductor.state.Now-job.Accepted) / 1000)
 			}
+			conductor.noteStarted(job, place)
 			conductor.startAttempts(place)
 			return nil
 		},
@@ -113,6 +114,7 @@
 		"Starts", conductor.load.starts, "RepeatedStarts", conductor.load.repeatedStarts, "Holds", conductor.load.holds, "Probes", conductor.load.probes,
 		"Unanswered", conductor.load.unanswered, "Advices", conductor.load.advices, "ProcessorMillis", (processorTime - conductor.load.processorTime).Milliseconds())
 	conductor.load = load{processorTime: processorTime}
+	conductor.logRefusals()
 }
 
 // processorTime returns the processor time that the process has used, or zero if it is
