Waiter: decide how long a step waits for data locality

Cause: a worker away from a step's data is taken at once when no near one has room, also where near room becomes free long before the step would end there.

Change: package waiter holds the decision without a network, the memory of the waits that a leader has begun, the penalty that it observes by queue, and how far waits are off from their forecast. Nothing calls it yet.

--- /dev/null
+++ b/waiter/waiter_test.go
@@ -0,0 +1,169 @@
+package waiter_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelrill/dotterelrill/modeller"
+	"github.com/dotterelrill/dotterelrill/stager"
+	"github.com/dotterelrill/dotterelrill/waiter"
+)
+
+const (
+	begin  modeller.Millis = 10_000
+	review modeller.Millis = 100
+)
+
+var step = stager.StepID{Job: "j"}
+
+// drawChance draws a chance of a step that could start elsewhere at once.
+func drawChance(t *rapid.T) waiter.Chance {
+	near := modeller.Millis(rapid.IntRange(100, 8000).Draw(t, "near"))
+	return waiter.Chance{
+		Now: begin, FarAt: begin, Near: near, Far: modeller.Millis(float64(near) * rapid.Float64Range(1, 4).Draw(t, "penalty")),
+		NearAt:      begin + modeller.Millis(rapid.IntRange(0, 6000).Draw(t, "until near")),
+		LatestStart: begin + modeller.Millis(rapid.IntRange(-1000, 12_000).Draw(t, "slack")),
+		Size:        1,
+	}
+}
+
+// play considers a step every 100 ms until it starts: near when nearAt has come, or
+// elsewhere once it does not wait. leader returns the waiter and the forecast of the time.
+func play(chance waiter.Chance, nearAt modeller.Millis, leader func(modeller.Millis) (*waiter.Waiter, modeller.Millis)) (startedAt modeller.Millis, near bool) {
+	for now := chance.Now; ; now = min(now+review, max(nearAt, now+1)) {
+		if now >= nearAt {
+			return now, true
+		}
+		var current *waiter.Waiter
+		chance.Now, chance.FarAt = now, now
+		current, chance.NearAt = leader(now)
+		if !current.Consider(step, "q", "r", chance) {
+			return now, false
+		}
+	}
+}
+
+// endOf returns when a step that started has ended.
+func endOf(chance waiter.Chance, startedAt modeller.Millis, near bool) modeller.Millis {
+	if near {
+		return startedAt + chance.Near
+	}
+	return startedAt + chance.Far
+}
+
+// TestAWaitNeverMakesAJobLate guards against a wait that makes a job late that would have
+// been on time elsewhere, and, with a perfect forecast, against one that ends later than it
+// would have elsewhere.
+func TestAWaitNeverMakesAJobLate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		chance := drawChance(t)
+		actual := chance.NearAt
+		perfect := rapid.Bool().Draw(t, "perfect")
+		current := waiter.New(waiter.Config{})
+		startedAt, near := play(chance, actual, func(now modeller.Millis) (*waiter.Waiter, modeller.Millis) {
+			if perfect {
+				return current, actual
+			}
+			return current, now + modeller.Millis(rapid.IntRange(0, 2000).Draw(t, "forecast"))
+		})
+		end, deadline := endOf(chance, startedAt, near), chance.LatestStart+chance.Near
+		if far := begin + chance.Far; far <= deadline && end > deadline || perfect && end > far {
+			t.Fatalf("ended at %d, elsewhere at %d, deadline %d", end, far, deadline)
+		}
+	})
+}
+
+// TestAUselessForecastCostsAtMostTheGain guards against a step that waits on and on for
+// near room that is always expected to become free at once, also where a lost leader's
+// successor begins the wait again.
+func TestAUselessForecastCostsAtMostTheGain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		chance := drawChance(t)
+		lostAt := begin + modeller.Millis(rapid.IntRange(0, 8000).Draw(t, "lost at"))
+		leaders := []*waiter.Waiter{waiter.New(waiter.Config{}), waiter.New(waiter.Config{})}
+		startedAt, _ := play(chance, waiter.Never, func(now modeller.Millis) (*waiter.Waiter, modeller.Millis) {
+			if now < lostAt {
+				return leaders[0], now + 1
+			}
+			return leaders[1], now + 1
+		})
+		waited, gain := startedAt-begin, chance.Far-chance.Near
+		if waited > 0 && waited > 2*(min(gain, chance.Near)+review) {
+			t.Fatalf("waited %d to gain %d", waited, gain)
+		}
+		if deadline := chance.LatestStart + chance.Near; begin+chance.Far <= deadline && startedAt+chance.Far > deadline {
+			t.Fatalf("started elsewhere at %d, deadline %d", startedAt, deadline)
+		}
+	})
+}
+
+// TestAWaitMustEarnWhatStandsIdle guards against a step that keeps much free capacity idle
+// for a small gain of its own.
+func TestAWaitMustEarnWhatStandsIdle(t *testing.T) {
+	c := qt.New(t)
+	chance := waiter.Chance{Now: begin, FarAt: begin, NearAt: begin + 400, Near: 1000, Far: 2000, LatestStart: begin + 10_000, Size: 4000, Idle: 3000}
+	c.Check(waiter.Pays(chance, waiter.Wait{First: chance}), qt.IsTrue)
+	chance.Idle = 12_000
+	c.Check(waiter.Pays(chance, waiter.Wait{First: chance}), qt.IsFalse)
+}
+
+// TestWaitsThatTakeLongerThanExpectedAreTakenIntoAccount guards against steps that wait
+// again and again although near room becomes free much later than expected.
+func TestWaitsThatTakeLongerThanExpectedAreTakenIntoAccount(t *testing.T) {
+	c := qt.New(t)
+	var events []waiter.Event
+	current := waiter.New(waiter.Config{Report: func(event waiter.Event) { events = append(events, event) }})
+	chance := waiter.Chance{Now: begin, FarAt: begin, NearAt: begin + 500, Near: 1000, Far: 2000, LatestStart: begin + 10_000, Size: 1}
+	begins := func(job stager.JobID) bool { return current.Consider(stager.StepID{Job: job}, "q", "r", chance) }
+	c.Assert(begins("first"), qt.IsTrue)
+	current.Placed(stager.StepID{Job: "first"}, begin+1500)
+	c.Check(begins("second"), qt.IsFalse)
+	c.Check(events, qt.DeepEquals, []waiter.Event{
+		{Step: stager.StepID{Job: "first"}, Queue: "q", Rack: "r", Result: waiter.Begun, Expected: 500},
+		{Step: stager.StepID{Job: "first"}, Queue: "q", Rack: "r", Result: waiter.PaidOff, Expected: 500, Waited: 1500, Gained: -500},
+	})
+	chance.NearAt = begin + 200
+	for range 8 {
+		c.Assert(begins("short"), qt.IsTrue, qt.Commentf("a short wait still begins"))
+		current.Placed(stager.StepID{Job: "short"}, begin+200)
+	}
+	chance.NearAt = begin + 500
+	c.Check(begins("third"), qt.IsTrue)
+}
+
+// TestAStepThatGaveUpDoesNotWaitAgain guards against a step that alternates between waiting
+// and asking about workers elsewhere.
+func TestAStepThatGaveUpDoesNotWaitAgain(t *testing.T) {
+	c := qt.New(t)
+	current := waiter.New(waiter.Config{})
+	chance := waiter.Chance{Now: begin, FarAt: begin, NearAt: begin + 100, Near: 1000, Far: 2000, LatestStart: begin + 10_000, Size: 1}
+	c.Assert(current.Consider(step, "q", "r", chance), qt.IsTrue)
+	chance.NearAt = waiter.Never
+	c.Check(current.Consider(step, "q", "r", chance), qt.IsFalse, qt.Commentf("the rack has failed"))
+	chance.NearAt = begin + 100
+	c.Check(current.Consider(step, "q", "r", chance), qt.IsFalse)
+	current.Retain(func(stager.StepID) bool { return false })
+	_, known := current.Wait(step)
+	c.Check(known, qt.IsFalse)
+}
+
+// TestThePenaltyIsLearnedByQueue guards against a deployment's penalty that is kept although
+// a queue's tasks show another, and against one straggler that changes it.
+func TestThePenaltyIsLearnedByQueue(t *testing.T) {
+	c := qt.New(t)
+	current := waiter.New(waiter.Config{Penalty: 3})
+	for range 8 {
+		c.Check(current.Penalty("q"), qt.Equals, 3.0)
+		current.Observe("q", true, 1000, 1100)
+		current.Observe("q", false, 1000, 1650)
+	}
+	c.Check(current.Penalty("q") > 1.45 && current.Penalty("q") < 1.55, qt.IsTrue, qt.Commentf("%v", current.Penalty("q")))
+	for range 30 {
+		current.Observe("q", false, 1000, 1650)
+	}
+	current.Observe("q", false, 1000, 1_000_000)
+	c.Check(current.Penalty("q") < 1.6, qt.IsTrue, qt.Commentf("%v", current.Penalty("q")))
+	c.Check(current.Penalty("other"), qt.Equals, 3.0)
+}
