Allotter: steps wait for room near their data while that pays

Cause: a worker away from a step's data, or several racks for a gang that needs one, were taken at once, and the step then ran remotePenalty times as long and held its cores that much longer.

Change: placeOrAsk lets package waiter decide, on the expected ends on one rack's workers. A step that waits may use that rack alone, and its adviser is asked about no other; room that becomes free is kept for it and lent to tasks that end before. Without Config.Waiter nothing changes.

Result: go test ./allotter ./waiter passes.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -18,6 +18,7 @@
 import (
 	"github.com/dotterelrill/dotterelrill/modeller"
 	"github.com/dotterelrill/dotterelrill/stager"
+	"github.com/dotterelrill/dotterelrill/waiter"
 )
 
 // Candidate is a worker that may be given new work.
@@ -121,6 +122,9 @@
 	OnTrial func(stager.TaskID) bool
 	// Trials is how many workers run a suspect on trial. They are no candidates.
 	Trials int
+	// Waiter decides how long steps wait for room near their data; if it is nil, or if
+	// ExpectedReleases is, none waits.
+	Waiter *waiter.Waiter
 }
 
 // Allotter makes one pass over the waiting steps.
@@ -135,6 +139,7 @@
 	gangSearches int
 	// trials counts the workers that run a suspect on trial or are reserved for one.
 	trials  int
+	near    near
 	scratch scratch
 }
 
@@ -225,6 +230,7 @@
 	if !step.minSize().Fits(allotter.config.State.Room(step.job.ClientAccount)) {
 		return &summary.AtLimit
 	}
+	defer allotter.preferNear(step)()
 	if step.queue.Advised == nil {
 		if allotter.place(step, allotter.ranked(step, freeNow, anyWorker)) == len(step.tasks) {
 			return &summary.Placed
--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -9,6 +9,7 @@
 	"github.com/dotterelrill/dotterelrill/allotter"
 	"github.com/dotterelrill/dotterelrill/modeller"
 	"github.com/dotterelrill/dotterelrill/stager"
+	"github.com/dotterelrill/dotterelrill/waiter"
 )
 
 // fixture is a state with waiting jobs, and the placements and questions of the
@@ -29,6 +30,12 @@
 	quiet   func(modeller.WorkerName) bool
 	lost    map[modeller.WorkerName]bool
 	onTrial bool
+	// gone holds workers that are no candidates.
+	gone map[modeller.WorkerName]bool
+	// waiter decides how long steps wait for a rack; if it is nil, none waits.
+	waiter *waiter.Waiter
+	// onPlace is called with each placement, if it is set.
+	onPlace func(*stager.Place)
 }
 
 const workerCores = 8
@@ -88,12 +95,16 @@
 	config := allotter.Config{
 		State: fixture.state, Now: fixture.now, Elapsed: fixture.now, Approval: fixture.approval,
 		ExpectedReleases: func(name modeller.WorkerName) []allotter.ExpectedRelease { return fixture.endings[name] },
+		Waiter:           fixture.waiter,
 		Quiet:            fixture.quiet, OnTrial: func(stager.TaskID) bool { return fixture.onTrial },
 		Place: func(place *stager.Place) error {
 			fixture.state.Now = fixture.now
 			if err := fixture.state.ApplyCommand(&stager.Command{Place: place}); err != nil {
 				return err
 			}
+			if fixture.onPlace != nil {
+				fixture.onPlace(place)
+			}
 			for range place.Tasks {
 				fixture.placed = append(fixture.placed, string(place.Step.Job))
 			}
@@ -109,6 +120,9 @@
 	}
 	config.Candidates = fixture.candidates[:0]
 	for _, name := range fixture.names {
+		if fixture.gone[name] {
+			continue
+		}
 		config.Candidates = append(config.Candidates, allotter.Candidate{Worker: fixture.state.Workers[name], Pace: fixture.pace[name], LostRecently: fixture.lost[name]})
 	}
 	fixture.candidates = config.Candidates
--- a/allotter/bench_test.go
+++ b/allotter/bench_test.go
@@ -7,6 +7,7 @@
 	"github.com/dotterelrill/dotterelrill/allotter"
 	"github.com/dotterelrill/dotterelrill/modeller"
 	"github.com/dotterelrill/dotterelrill/stager"
+	"github.com/dotterelrill/dotterelrill/waiter"
 )
 
 // BenchmarkPass measures one pass over a nearly full fleet of 350 workers: 300
@@ -98,3 +99,38 @@
 		fixture.run()
 	}
 }
+
+// BenchmarkNearPass measures one pass over 350 workers in racks of 14, one of them with
+// room, while 2,000 steps wait whose data lies in a rack, with and without waits.
+func BenchmarkNearPass(b *testing.B) {
+	for _, penalty := range []float64{0, 2} {
+		b.Run(fmt.Sprint("penalty ", penalty), func(b *testing.B) {
+			const workers, rackSize, waiting = 350, 14, 2000
+			fixture := newFixture(&testing.T{}, workers, false)
+			fixture.endings = make(map[modeller.WorkerName][]allotter.ExpectedRelease)
+			for index := range workers {
+				name := modeller.WorkerName(fmt.Sprintf("w%02d", index))
+				fixture.state.Workers[name].Rack = modeller.RackName(fmt.Sprint("r", index/rackSize))
+				if index > 0 {
+					fixture.occupy(fmt.Sprint("old", index), name, fixture.now+modeller.Millis(100+index))
+				}
+			}
+			for index := range waiting {
+				near := step(3, 3, 2000)
+				near.DataRack = modeller.RackName(fmt.Sprint("r", 1+index%(workers/rackSize-1)))
+				fixture.submit(fmt.Sprint("near", index), "draw", near)
+			}
+			full := fixture.state
+			b.ReportAllocs()
+			for b.Loop() {
+				b.StopTimer()
+				fixture.state = full.Clone()
+				if penalty > 0 {
+					fixture.waiter = waiter.New(waiter.Config{Penalty: penalty})
+				}
+				b.StartTimer()
+				fixture.run()
+			}
+		})
+	}
+}
--- a/allotter/place.go
+++ b/allotter/place.go
@@ -16,9 +16,9 @@
 func anyWorker(*Candidate) bool { return true }
 
 // eligible reports whether a worker may run the step's tasks, regardless of its
-// free room.
+// free room. While the step waits for a rack, other workers may not.
 func (allotter *Allotter) eligible(step *readyStep, worker *stager.Worker) bool {
-	return worker.Pool == step.queue.Pool && worker.HasLabel(step.spec.Label) && allotter.compatible(step.spec, worker)
+	return worker.Pool == step.queue.Pool && allotter.admits(worker) && worker.HasLabel(step.spec.Label) && allotter.compatible(step.spec, worker)
 }
 
 // Fields of a rank, from the lowest bits up: the candidate's index, its free
--- a/waiter/waiter.go
+++ b/waiter/waiter.go
@@ -69,27 +69,29 @@
 // one after the other, and for jobs with little slack.
 //
 // A wait pays if the step is expected to end sooner near than if it had started elsewhere
-// when it first could. It takes at most the time that it could have gained, so that a
-// useless forecast at most doubles the loss, and a share of the run time. While the job
-// would be on time elsewhere, the wait ends early enough to start it there on time;
-// otherwise it ends at the latest start. The capacity that stands idle for the step must
-// not exceed what its longer run elsewhere would take.
+// when it first could, and on time. It takes at most the time that it could have gained,
+// so that a useless forecast at most doubles the loss, and a share of the run time. The
+// capacity that stands idle for the step must not exceed what its longer run elsewhere
+// would take.
 func Pays(chance Chance, wait Wait) bool {
 	gain := chance.gain()
 	longest := min(gain, modeller.Millis(maxWaitShare*float64(chance.Near)))
-	if longest <= 0 || chance.NearAt >= wait.First.FarAt+longest || chance.NearAt > chance.latestNear() {
+	if longest <= 0 || chance.NearAt >= wait.First.FarAt+longest || chance.NearAt > chance.latestNear(wait) {
 		return false
 	}
 	return float64(chance.Idle)*float64(chance.NearAt-chance.Now) <= float64(chance.Size)*float64(gain)
 }
 
-// latestNear returns the latest time of near room for which the step may wait.
-func (chance Chance) latestNear() modeller.Millis {
+// latestNear returns the latest time of near room for which a step may wait: its latest
+// start. A wait that takes more than twice as long as was expected when it began is not
+// trusted any more; while the job would still be on time elsewhere, it ends early enough to
+// start it there.
+func (chance Chance) latestNear(wait Wait) modeller.Millis {
 	latestFar := chance.LatestStart - chance.gain()
-	if chance.FarAt > latestFar {
+	trustedUntil := wait.First.NearAt + (wait.First.NearAt - wait.First.Now) + reviewMillis
+	if chance.Now <= trustedUntil || chance.FarAt > latestFar {
 		return chance.LatestStart
 	}
-	// The step is still on time elsewhere when the last review before this time gives up.
 	return latestFar - reviewMillis - (chance.FarAt - chance.Now)
 }
 
