Conductor: waits for near room, their penalty, settings and metrics

Cause: nothing called package waiter on a leader, and run times of steps away from their data were thrown away.

Change: the conductor has a Waiter where [Staged] RemotePenalty is above 1, feeds it run times near and elsewhere by queue, counts elsewhere-running attempts with the penalty in expected ends, and logs and counts waits. Gangs over several racks are left out of the trend then.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -30,6 +30,7 @@
 	"github.com/dotterelrill/dotterelrill/estimator"
 	"github.com/dotterelrill/dotterelrill/modeller"
 	"github.com/dotterelrill/dotterelrill/stager"
+	"github.com/dotterelrill/dotterelrill/waiter"
 )
 
 // ErrNotCommitted is returned by Run if a batch was not committed, or if that
@@ -88,6 +89,9 @@
 	StaleAfter time.Duration
 	// GangWait is how long a gang's first task waits for the others.
 	GangWait time.Duration
+	// RemotePenalty is how many times as long tasks run elsewhere than near their data. If
+	// it is at most 1, no step waits for near room.
+	RemotePenalty float64
 }
 
 // Conductor is the leader's side of staged jobs. Its exported methods are safe
@@ -121,6 +125,8 @@
 	approvals      map[stager.StepID]*approval
 	// trends estimate the run times of each queue's tasks.
 	trends map[modeller.QueueName]*estimator.Trend
+	// waiter decides how long steps wait for near room; it is nil if none waits.
+	waiter *waiter.Waiter
 	// startedAt is when Run began, on Clock.
 	startedAt   time.Duration
 	instruments *instruments
@@ -151,7 +157,7 @@
 
 // New returns a Conductor; Run starts it.
 func New(config Config) *Conductor {
-	return &Conductor{
+	conductor := &Conductor{
 		config:      config,
 		state:       config.State,
 		sequence:    config.State.Sequence,
@@ -164,6 +170,10 @@
 		lostAddresses: make(map[string]time.Duration),
 		instruments:   newInstruments(config.Metrics),
 	}
+	if penalty := config.Settings.RemotePenalty; penalty > 1 {
+		conductor.waiter = waiter.New(waiter.Config{Penalty: penalty, Report: conductor.reportWait})
+	}
+	return conductor
 }
 
 // Run processes work until the context is cancelled or a batch fails. It
@@ -314,6 +324,7 @@
 		conductor.checkWorker(connection)
 	}
 	conductor.expireInquiries()
+	conductor.expireWaits()
 	conductor.forgetLosses()
 	conductor.logLoad()
 	conductor.placementPending = true
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
 	"github.com/go-kit/log"
 
@@ -60,6 +61,7 @@
 	lostHolds int
 	// onBatch is called with each batch that is committed, if it is set.
 	onBatch func(*stager.Batch)
+	metrics *metrics.Set
 	// lastBatch is closed once the previous batch is decided.
 	lastBatch chan struct{}
 }
@@ -84,6 +86,11 @@
 
 // newGatedFleet is newFleet with a holdGate.
 func newGatedFleet(t *testing.T, state *stager.State, holdGate chan struct{}) *fleet {
+	return newFleetWith(t, state, holdGate, conductor.Settings{Lease: lease, StaleAfter: time.Minute, GangWait: time.Second})
+}
+
+// newFleetWith is newGatedFleet with settings.
+func newFleetWith(t *testing.T, state *stager.State, holdGate chan struct{}, settings conductor.Settings) *fleet {
 	c := qt.New(t)
 	if state == nil {
 		state = stager.New()
@@ -97,6 +104,7 @@
 		acknowledged: make(map[modeller.WorkerName]uint64),
 		percent:      make(map[modeller.WorkerName]int),
 		incarnations: make(map[modeller.WorkerName]stager.Incarnation),
+		metrics:      metrics.NewSet(),
 	}
 	startedAt := time.Now()
 	copied := state.Clone()
@@ -113,8 +121,9 @@
 		Answered: func(stager.InquiryID) {},
 		Lost:     func() []stager.InquiryID { return nil },
 		Withdraw: func(stager.StepID) {},
-		Settings: conductor.Settings{Lease: lease, StaleAfter: time.Minute, GangWait: time.Second},
+		Settings: settings,
 		Logger:   log.NewNopLogger(),
+		Metrics:  fleet.metrics,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { fleet.runEnded <- fleet.conductor.Run(ctx) }()
--- a/conductor/estimate.go
+++ b/conductor/estimate.go
@@ -7,8 +7,10 @@
 
 	"github.com/dotterelrill/dotterelrill/allotter"
 	"github.com/dotterelrill/dotterelrill/estimator"
+	"github.com/dotterelrill/dotterelrill/internal/logger"
 	"github.com/dotterelrill/dotterelrill/modeller"
 	"github.com/dotterelrill/dotterelrill/stager"
+	"github.com/dotterelrill/dotterelrill/waiter"
 )
 
 // runTime returns the expected run time of a queue's task from its declared
@@ -18,12 +20,16 @@
 }
 
 // observeRunTime updates the queue's trend and the worker's pace from an
-// attempt that ran as a whole. A gang counts once, through its first task, and
+// attempt that ran near its data as a whole. A gang counts once, through its first task, and
 // not for the worker's pace, because its tasks may have waited for each other.
 func (conductor *Conductor) observeRunTime(connection *connection, job *stager.Job, ended *attempt, step *stager.Step) {
 	actual := millis(ended.runDuration(conductor.config.Clock()))
-	if actual == 0 || ended.resumed || step.Lasting || step.Gang && ended.id.Index > 0 ||
-		step.DataRack != "" && conductor.state.Workers[connection.name].Rack != step.DataRack {
+	if actual == 0 || ended.resumed || step.Lasting || step.Gang && ended.id.Index > 0 {
+		return
+	}
+	near := conductor.near(job, ended.id, step, connection.name)
+	conductor.observeLocality(connection, job, step, near, actual)
+	if !near {
 		return
 	}
 	trend := conductor.trends[job.Queue]
@@ -39,6 +45,74 @@
 	trend.Observe(step.RunTime, actual)
 }
 
+// near reports whether a task on a worker runs near its data and, where steps may wait for
+// near room, whether a gang that needs one rack is in one.
+func (conductor *Conductor) near(job *stager.Job, id stager.TaskID, step *stager.Step, name modeller.WorkerName) bool {
+	rack := conductor.rack(name)
+	if step.DataRack != "" && rack != step.DataRack {
+		return false
+	}
+	if conductor.waiter == nil || !step.Gang || !hasLocality(step) {
+		return true
+	}
+	for _, task := range job.StepTasks(id.Occurrence, id.Step) {
+		if conductor.rack(task.Worker) != rack {
+			return false
+		}
+	}
+	return true
+}
+
+// hasLocality reports whether a step's tasks run faster in some racks than in others.
+func hasLocality(step *stager.Step) bool {
+	return step.DataRack != "" || step.Gang && step.OneRack
+}
+
+// rack returns the rack of a worker, empty if the worker is not known any more.
+func (conductor *Conductor) rack(name modeller.WorkerName) modeller.RackName {
+	if worker := conductor.state.Workers[name]; worker != nil {
+		return worker.Rack
+	}
+	return ""
+}
+
+// observeLocality feeds a run time of a step with locality to the penalty of its queue.
+func (conductor *Conductor) observeLocality(connection *connection, job *stager.Job, step *stager.Step, near bool, actual modeller.Millis) {
+	if conductor.waiter == nil || !hasLocality(step) {
+		return
+	}
+	if !step.Gang {
+		actual = modeller.Millis(float64(actual) / connection.pace.Factor())
+	}
+	conductor.waiter.Observe(job.Queue, near, conductor.runTime(job.Queue, step.RunTime), actual)
+}
+
+// penalty returns how many times as long as near its data an attempt takes on a worker.
+func (conductor *Conductor) penalty(job *stager.Job, id stager.TaskID, step *stager.Step, name modeller.WorkerName) float64 {
+	if conductor.waiter == nil || conductor.near(job, id, step, name) {
+		return 1
+	}
+	return conductor.waiter.Penalty(job.Queue)
+}
+
+// reportWait logs and counts the beginning or end of a step's wait for near room.
+func (conductor *Conductor) reportWait(event waiter.Event) {
+	conductor.instruments.countWait(event)
+	logger.Info(conductor.config.Logger, "near wait", "Step", event.Step.String(), "Queue", event.Queue, "Rack", event.Rack, "Result", event.Result.String(),
+		"Penalty", conductor.waiter.Penalty(event.Queue), "ExpectedMillis", int64(event.Expected), "WaitedMillis", int64(event.Waited), "GainedMillis", int64(event.Gained))
+}
+
+// expireWaits drops the waits of steps of which no task waits any more.
+func (conductor *Conductor) expireWaits() {
+	if conductor.waiter == nil {
+		return
+	}
+	conductor.waiter.Retain(func(step stager.StepID) bool {
+		job := conductor.state.Jobs[step.Job]
+		return job != nil && !job.Over() && len(job.Waiting(step.Occurrence, step.Step)) > 0
+	})
+}
+
 // expectedReleases returns when a worker's attempts are expected to end and what
 // they free, earliest first. The slice belongs to the connection.
 func (conductor *Conductor) expectedReleases(name modeller.WorkerName) []allotter.ExpectedRelease {
@@ -57,7 +131,8 @@
 			continue
 		}
 		step := &job.Steps[id.Step]
-		remaining := attempt.remainingTime(conductor.runTime(job.Queue, step.RunTime), now)
+		expected := modeller.Millis(float64(conductor.runTime(job.Queue, step.RunTime)) * conductor.penalty(job, id, step, name))
+		remaining := attempt.remainingTime(expected, now)
 		found = append(found, allotter.ExpectedRelease{At: millis(now + remaining), Size: step.Demand()})
 	}
 	slices.SortFunc(found, func(left, right allotter.ExpectedRelease) int {
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/dotterelrill/dotterelrill/stager"
+	"github.com/dotterelrill/dotterelrill/waiter"
 )
 
 // instruments are the metrics of a Conductor. Durations are in seconds.
@@ -24,6 +25,9 @@
 	start, run *metrics.Histogram
 	// wait is the time from a job's acceptance to its first placement.
 	wait *metrics.Histogram
+	// nearGained and nearLost are by how much steps end sooner, or later, since they waited
+	// for near room.
+	nearGained, nearLost *metrics.FloatCounter
 }
 
 func newInstruments(set *metrics.Set) *instruments {
@@ -40,6 +44,8 @@
 		start:        set.GetOrCreateHistogram("dotterel_staged_start_seconds"),
 		run:          set.GetOrCreateHistogram("dotterel_staged_run_seconds"),
 		wait:         set.GetOrCreateHistogram("dotterel_staged_wait_seconds"),
+		nearGained:   set.GetOrCreateFloatCounter("dotterel_staged_near_gained_seconds_total"),
+		nearLost:     set.GetOrCreateFloatCounter("dotterel_staged_near_lost_seconds_total"),
 	}
 }
 
@@ -57,6 +63,13 @@
 	}
 }
 
+// countWait counts the beginning or end of a wait for near room.
+func (instruments *instruments) countWait(event waiter.Event) {
+	instruments.set.GetOrCreateCounter(fmt.Sprintf("dotterel_staged_near_waits_total{result=%q}", event.Result)).Inc()
+	instruments.nearGained.Add(max(0, float64(event.Gained)/1000))
+	instruments.nearLost.Add(max(0, -float64(event.Gained)/1000))
+}
+
 // countJobEnd observes the time from a job's acceptance to its end.
 func (instruments *instruments) countJobEnd(job *stager.Job) {
 	instruments.set.GetOrCreateHistogram(fmt.Sprintf("dotterel_staged_job_seconds{status=%q}", job.Status())).Update(float64(job.Ended-job.Accepted) / 1000)
--- a/conductor/plan.go
+++ b/conductor/plan.go
@@ -47,6 +47,7 @@
 		Quiet:            conductor.quiet,
 		OnTrial:          conductor.taskOnTrial,
 		Trials:           conductor.countTrials(),
+		Waiter:           conductor.waiter,
 	}).Run()
 	finishedAt := conductor.config.Clock()
 	conductor.nextPlanAt = finishedAt + planPauseFactor*(finishedAt-startedAt)
--- a/configurer/set.go
+++ b/configurer/set.go
@@ -127,6 +127,23 @@
 	set.add(key)
 }
 
+// Float declares a decimal setting within an inclusive range.
+func (set *Set) Float(destination *float64, minimum, maximum float64, key Key) {
+	key.Allowed = fmt.Sprintf("a number from %g to %g", minimum, maximum)
+	key.parse = func(text string) string {
+		value, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			return fmt.Sprintf("%q is not a number", text)
+		}
+		if !(value >= minimum && value <= maximum) {
+			return fmt.Sprintf("%g is out of range", value)
+		}
+		*destination = value
+		return ""
+	}
+	set.add(key)
+}
+
 // Duration declares a duration setting within an inclusive range.
 func (set *Set) Duration(destination *time.Duration, minimum, maximum time.Duration, key Key) {
 	key.Allowed = fmt.Sprintf("a duration with its unit (ms, s, m, h) from %s to %s", minimum, maximum)
--- a/internal/cellrunner/settings.go
+++ b/internal/cellrunner/settings.go
@@ -98,6 +98,7 @@
 	set.Duration(&settings.Staged.Lease, time.Second, 10*time.Minute, configurer.Key{Section: "Staged", Name: "Lease", Default: "6s", Help: "Duration of a worker's lease for staged jobs: how long it may run their tasks without a renewal. It must not exceed the lease duration that the workers accept."})
 	set.Duration(&settings.Staged.StaleAfter, time.Second, 10*time.Minute, configurer.Key{Section: "Staged", Name: "StaleAfter", Default: "4s", Help: "Time since the last contact with a worker from which it is assigned no new tasks of staged jobs."})
 	set.Duration(&settings.Staged.GangWait, 100*time.Millisecond, 10*time.Minute, configurer.Key{Section: "Staged", Name: "GangWait", Default: "3s", Help: "How long the first task of a gang waits at its worker for the others; before that time it is not treated as stalled."})
+	set.Float(&settings.Staged.RemotePenalty, 1, 100, configurer.Key{Section: "Staged", Name: "RemotePenalty", Help: "How many times as long a task runs on a worker of another rack than its data, and a gang that needs one rack on several; used for a queue until it has been observed. Steps may wait for near room if it is above 1; if it is 1 or empty, none waits."})
 	set.Duration(&settings.StagedKeepEnded, time.Minute, 30*24*time.Hour, configurer.Key{Section: "Staged", Name: "KeepEnded", Default: "1h", Help: "Retention of a staged job after its end, during which it can be queried and its ID cannot be used for a new job."})
 	settings.TLS.Declare(set)
 	set.Check(settings.check)
