Waiter: wait more boldly, and again after giving up

Cause: on the recorded loads the rule gave up waits that would have paid: a step that had given up found no room elsewhere either and never waited again, and expected waits were stretched by their spread, so that steps started elsewhere on a full fleet and their longer runs delayed all others.

Change: a step may give up three times, an expected wait is stretched only by what ended waits show beyond their spread, and the longest wait is twice the near run time instead of once.

--- a/allotter/near.go
+++ b/allotter/near.go
@@ -113,7 +113,7 @@
 		return forecast{}, false
 	}
 	wait, known := allotter.config.Waiter.Wait(step.id)
-	if wait.GivenUp || step.late && !known {
+	if step.late && !known {
 		return forecast{}, false
 	}
 	approval := allotter.config.Approval(step.id)
--- a/waiter/learn.go
+++ b/waiter/learn.go
@@ -67,7 +67,7 @@
 	// times are off by a third, and the last of several tasks by more.
 	initialDeviation = 0.5
 	// The weights of the newest observation are those of the estimate of round-trip times
-	// in RFC 6298, which serves the same purpose.
+	// in RFC 6298.
 	ratioSmoothing     = 1.0 / 8
 	deviationSmoothing = 1.0 / 4
 	// maxOverrun bounds an observation and the factor, so that waits that are expected to be
@@ -96,7 +96,9 @@
 	overrun.ratio += ratioSmoothing * (ratio - overrun.ratio)
 }
 
-// factor returns how many times as long as expected a wait may take.
+// factor returns how many times as long as expected a wait is taken to be: at least as much
+// as the waits that have ended show beyond their spread. Adding the spread instead lets too
+// many steps start elsewhere on a full fleet, where their longer runs delay all others.
 func (overrun *overrun) factor() float64 {
-	return min(max(overrun.ratio+overrun.deviation, 1), maxOverrun)
+	return min(max(overrun.ratio-overrun.deviation, 1), maxOverrun)
 }
--- a/waiter/waiter.go
+++ b/waiter/waiter.go
@@ -45,9 +45,9 @@
 	First Chance
 	// Skips counts the passes in which the step was kept waiting.
 	Skips int
-	// GivenUp is true once the wait has ended without near room. The step does not wait
-	// again.
-	GivenUp bool
+	// Ended is true while the step does not wait since it has given up GivenUp times.
+	Ended   bool
+	GivenUp int
 }
 
 // Waited returns how long the step has waited since it could have started elsewhere.
@@ -57,8 +57,11 @@
 
 const (
 	// maxWaitShare bounds a wait as a share of the near run time: callers of short tasks
-	// notice a wait that is longer than the task.
-	maxWaitShare = 1.0
+	// notice a wait that is much longer than the task.
+	maxWaitShare = 2.0
+	// maxGiveUps is how often a step gives up. One that has found no room elsewhere may wait
+	// again, but must not alternate between waits and questions about workers elsewhere.
+	maxGiveUps = 3
 	// reviewMillis is the time until a wait is considered again. A leader that is not
 	// overloaded makes a pass at least every 100 ms, and a pass may take half as long.
 	reviewMillis = 150
@@ -160,9 +163,9 @@
 	}
 }
 
-// Wait returns a step's wait, also one that was given up, and whether it has any.
+// Wait returns the wait of a step that waits, and whether it does.
 func (waiter *Waiter) Wait(step stager.StepID) (Wait, bool) {
-	if wait := waiter.waits[step]; wait != nil {
+	if wait := waiter.waits[step]; wait != nil && !wait.Ended {
 		return *wait, true
 	}
 	return Wait{}, false
@@ -172,16 +175,20 @@
 // the step's wait.
 func (waiter *Waiter) Consider(step stager.StepID, queue modeller.QueueName, rack modeller.RackName, chance Chance) bool {
 	wait := waiter.waits[step]
-	if wait != nil && wait.GivenUp {
+	if wait != nil && wait.GivenUp >= maxGiveUps {
 		return false
 	}
 	expected := chance
 	if chance.NearAt < Never {
 		expected.NearAt = chance.Now + modeller.Millis(float64(chance.NearAt-chance.Now)*waiter.overrun.factor())
 	}
-	begins := wait == nil
+	begins := wait == nil || wait.Ended
 	if begins {
-		wait = &Wait{Queue: queue, Rack: rack, First: chance}
+		begun := &Wait{Queue: queue, Rack: rack, First: chance}
+		if wait != nil {
+			begun.GivenUp = wait.GivenUp
+		}
+		wait = begun
 	}
 	switch {
 	case !waiter.config.Pays(expected, *wait):
@@ -198,7 +205,8 @@
 }
 
 func (waiter *Waiter) giveUp(step stager.StepID, wait *Wait, now modeller.Millis) {
-	wait.GivenUp = true
+	wait.Ended = true
+	wait.GivenUp++
 	waiter.overrun.observe(wait.First, now, true)
 	waiter.report(step, wait, GivenUp, now, -wait.Waited(now))
 }
@@ -206,7 +214,7 @@
 // Placed ends the wait of a step whose tasks have all been placed near.
 func (waiter *Waiter) Placed(step stager.StepID, now modeller.Millis) {
 	wait := waiter.waits[step]
-	if wait == nil || wait.GivenUp {
+	if wait == nil || wait.Ended {
 		return
 	}
 	delete(waiter.waits, step)
