--- a/allotter/compare_test.go
+++ b/allotter/compare_test.go
@@ -7,6 +7,7 @@
 	"math/rand"
 	"slices"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
@@ -43,8 +44,10 @@
 
 // load is a share of all cores that the arrivals take if all tasks run near, the factor by
 // which more arrive in a burst from 3 to 7 s, and how many times as long tasks run elsewhere.
+// If it is advised, each step needs an adviser's approval, which half of the workers get.
 type load struct {
 	share, burst, penalty float64
+	advised               bool
 }
 
 // record draws the arrivals of a load. Some racks hold more data than others.
@@ -88,12 +91,19 @@
 	began, ends, hint modeller.Millis
 }
 
+// pendingAnswer is a question that an adviser answers at a time.
+type pendingAnswer struct {
+	at       modeller.Millis
+	question allotter.Question
+}
+
 // player plays a load against the allotter.
 type player struct {
 	*fixture
 	arrivals []arrival
 	perfect  bool
 	penalty  float64
+	answers  []pendingAnswer
 	running  []runningTask
 	started  map[stager.JobID]modeller.Millis
 	ended    map[stager.JobID]modeller.Millis
@@ -101,19 +111,23 @@
 
 // play plays a load to its end, with a forecast that knows the actual run times if it is
 // perfect, and returns it.
-func play(t testing.TB, arrivals []arrival, perfect bool, penalty float64, current *waiter.Waiter) *player {
+func play(t testing.TB, arrivals []arrival, perfect bool, load load, current *waiter.Waiter) *player {
 	player := &player{
-		fixture: newFixture(t, compareRacks*rackWorkers, false), arrivals: arrivals, perfect: perfect, penalty: penalty,
+		fixture: newFixture(t, compareRacks*rackWorkers, load.advised), arrivals: arrivals, perfect: perfect, penalty: load.penalty,
 		started: make(map[stager.JobID]modeller.Millis), ended: make(map[stager.JobID]modeller.Millis),
 	}
 	for index := range compareRacks * rackWorkers {
 		worker := player.state.Workers[modeller.WorkerName(fmt.Sprintf("w%02d", index))]
 		worker.Rack, worker.Capacity = modeller.RackName(fmt.Sprint("r", index/rackWorkers)), modeller.Resources{MilliProcessors: 16_000, MemoryMiB: 8000}
 	}
+	if load.advised {
+		player.state.Queues["draw"].Advised.Decide, player.state.Queues["draw"].Advised.PerWorker = 50*time.Millisecond, time.Millisecond
+	}
 	player.waiter, player.onPlace = current, player.start
 	next := 0
 	for player.now = 1000; next < len(arrivals) || len(player.running) > 0; player.now += passMillis {
 		player.endTasks()
+		player.advise()
 		for ; next < len(arrivals) && arrivals[next].at+1000 <= player.now; next++ {
 			player.submit(fmt.Sprint(next), "draw", arrivals[next].step)
 		}
@@ -160,6 +174,23 @@
 	})
 }
 
+// advise answers the questions that are due, and takes up those of the last pass.
+func (player *player) advise() {
+	for _, question := range player.questions {
+		took := player.state.Queues["draw"].Advised.AnswerTime(len(question.Workers)).Milliseconds()
+		player.answers = append(player.answers, pendingAnswer{at: player.now - passMillis + modeller.Millis(took), question: question})
+	}
+	player.answers = slices.DeleteFunc(player.answers, func(pending pendingAnswer) bool {
+		if pending.at > player.now {
+			return false
+		}
+		player.answer(pending.question, func(name modeller.WorkerName) bool {
+			return (len(pending.question.Step.Job)+int(name[len(name)-1]))%2 == 0
+		})
+		return true
+	})
+}
+
 // forecast fills in the expected ends, as the conductor estimates them.
 func (player *player) forecast() {
 	player.endings = make(map[modeller.WorkerName][]allotter.ExpectedRelease)
@@ -233,14 +264,15 @@
 // guards against a rule that leaves the callers of more jobs late than no wait does.
 func TestRulesSideBySide(t *testing.T) {
 	c := qt.New(t)
-	for _, load := range []load{{0.6, 1, 2}, {0.88, 1, 2}, {1.1, 1, 2}, {0.6, 2, 2}, {0.88, 1, 1.5}, {0.88, 1, 3}} {
-		t.Logf("%.2f of all cores, %v times that in a burst, penalty %v: rule, kind, jobs, on time, mean and p95 ms to the end, mean and p95 ms to the start of the last task", load.share, load.burst, load.penalty)
+	for _, load := range []load{{0.6, 1, 2, false}, {0.88, 1, 2, false}, {1.1, 1, 2, false}, {0.6, 2, 2, false}, {0.88, 1, 1.5, false}, {0.88, 1, 3, false}, {0.6, 1, 2, true}, {0.75, 1, 2, true}} {
+		t.Logf("%.2f of all cores, %v times that in a burst, penalty %v, adviser %v: rule, kind, jobs, on time, mean and p95 ms to the end, mean and p95 ms to the start of the last task",
+			load.share, load.burst, load.penalty, load.advised)
 		var onTime []int
 		for _, rule := range rules {
 			results := make(map[string]*result)
 			for seed := range int64(*compareSeeds) {
 				current := waiter.New(waiter.Config{Penalty: load.penalty, Pays: rule.pays})
-				play(t, record(seed, load), false, load.penalty, current).addResults(results)
+				play(t, record(seed, load), false, load, current).addResults(results)
 			}
 			for _, kind := range []string{"gang", "wide", "short", "all"} {
 				of := results[kind]
@@ -273,7 +305,7 @@
 		id := stager.JobID(fmt.Sprint(len(arrivals) - 1))
 		penalty := rapid.SampledFrom([]float64{1.5, 2, 3}).Draw(t, "penalty")
 		ended := func(current *waiter.Waiter) modeller.Millis {
-			player := play(&testing.T{}, arrivals, true, penalty, current)
+			player := play(&testing.T{}, arrivals, true, load{penalty: penalty}, current)
 			return player.ended[id] - player.state.Jobs[id].Accepted
 		}
 		objective := 2*step.RunTime + 200
