--- a/allotter/near_test.go
+++ b/allotter/near_test.go
@@ -219,7 +219,8 @@
 }
 
 // TestNothingChangesWithoutPenaltyOrRack replays the same views without a waiter, with one
-// whose penalty is off, and with one that no step has a rack for.
+// whose penalty is off, and with one that no step has a rack for. With waits, the same view
+// still leads to the same decisions.
 func TestNothingChangesWithoutPenaltyOrRack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		workers := rapid.IntRange(2, 12).Draw(t, "workers")
@@ -249,5 +250,8 @@
 		if before, after := decide(nil), decide(waiter.New(waiter.Config{Penalty: penalty})); !slices.Equal(before, after) {
 			t.Fatalf("%v without a waiter, %v with one", before, after)
 		}
+		if first, second := decide(waiter.New(waiter.Config{Penalty: 3})), decide(waiter.New(waiter.Config{Penalty: 3})); !slices.Equal(first, second) {
+			t.Fatalf("the same input led to %v and to %v", first, second)
+		}
 	})
 }
