--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -20,6 +20,7 @@
 
 	"github.com/dotterelrill/dotterelrill/modeller"
 	"github.com/dotterelrill/dotterelrill/stager"
+	"github.com/dotterelrill/dotterelrill/waiter"
 )
 
 // Candidate is a worker that may be given new work.
@@ -129,6 +130,9 @@
 	OnTrial func(stager.TaskID) bool
 	// Trials is how many workers run a suspect on trial. They are no candidates.
 	Trials int
+	// Waiter decides how long steps wait for room near their data; if it is nil, or if
+	// ExpectedReleases is, none waits.
+	Waiter *waiter.Waiter
 }
 
 // Allotter makes one pass over the waiting steps.
@@ -150,6 +154,7 @@
 	// longBusy is true once an adviser was not free for a long question, and shortBusy for
 	// a short one.
 	longBusy, shortBusy bool
+	near                near
 	scratch             scratch
 }
 
@@ -243,6 +248,7 @@
 	if !step.minSize().Fits(allotter.config.State.Room(step.job.ClientAccount)) {
 		return &summary.AtLimit
 	}
+	defer allotter.preferNear(step)()
 	if step.queue.Advised == nil {
 		if allotter.place(step, allotter.ranked(step, freeNow, anyWorker)) == len(step.tasks) {
 			return &summary.Placed
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
 	"github.com/go-kit/log"
 
@@ -68,6 +69,7 @@
 	stopsBegun int
 	// onBatch is called with each batch that is committed, if it is set.
 	onBatch func(*stager.Batch)
+	metrics *metrics.Set
 	// lastBatch is closed once the previous batch is decided.
 	lastBatch chan struct{}
 }
@@ -97,6 +99,11 @@
 
 // newConfiguredFleet is newGatedFleet with other settings.
 func newConfiguredFleet(t *testing.T, state *stager.State, holdGate chan struct{}, settings conductor.Settings) *fleet {
+	return newFleetWith(t, state, holdGate, conductor.Settings{Lease: lease, StaleAfter: time.Minute, GangWait: time.Second})
+}
+
+// newFleetWith is newGatedFleet with settings.
+func newFleetWith(t *testing.T, state *stager.State, holdGate chan struct{}, settings conductor.Settings) *fleet {
 	c := qt.New(t)
 	if state == nil {
 		state = stager.New()
@@ -110,6 +117,7 @@
 		acknowledged: make(map[modeller.WorkerName]uint64),
 		percent:      make(map[modeller.WorkerName]int),
 		incarnations: make(map[modeller.WorkerName]stager.Incarnation),
+		metrics:      metrics.NewSet(),
 	}
 	startedAt := time.Now()
 	copied := state.Clone()
@@ -128,6 +136,7 @@
 		Withdraw: func(stager.StepID) {},
 		Settings: settings,
 		Logger:   log.NewNopLogger(),
+		Metrics:  fleet.metrics,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { fleet.runEnded <- fleet.conductor.Run(ctx) }()
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/dotterelrill/dotterelrill/allotter"
 	"github.com/dotterelrill/dotterelrill/modeller"
 	"github.com/dotterelrill/dotterelrill/stager"
+	"github.com/dotterelrill/dotterelrill/waiter"
 )
 
 // instruments are the metrics of a Conductor. Durations are in seconds.
@@ -30,6 +31,9 @@
 	// startsWithheld counts the attempts that were not started in an evacuated data
 	// centre, and moves the tasks that were moved out of one.
 	startsWithheld, moves *metrics.Counter
+	// nearGained and nearLost are by how much steps end sooner, or later, since they waited
+	// for near room.
+	nearGained, nearLost *metrics.FloatCounter
 }
 
 func newInstruments(set *metrics.Set) *instruments {
@@ -49,6 +53,8 @@
 
 		startsWithheld: set.GetOrCreateCounter("dotterel_staged_starts_withheld_total"),
 		moves:          set.GetOrCreateCounter("dotterel_staged_moves_total"),
+		nearGained:     set.GetOrCreateFloatCounter("dotterel_staged_near_gained_seconds_total"),
+		nearLost:       set.GetOrCreateFloatCounter("dotterel_staged_near_lost_seconds_total"),
 	}
 }
 
@@ -84,6 +90,13 @@
 	}
 }
 
+// countWait counts the beginning or end of a wait for near room.
+func (instruments *instruments) countWait(event waiter.Event) {
+	instruments.set.GetOrCreateCounter(fmt.Sprintf("dotterel_staged_near_waits_total{result=%q}", event.Result)).Inc()
+	instruments.nearGained.Add(max(0, float64(event.Gained)/1000))
+	instruments.nearLost.Add(max(0, -float64(event.Gained)/1000))
+}
+
 // countJobEnd observes the time from a job's acceptance to its end.
 func (instruments *instruments) countJobEnd(job *stager.Job) {
 	instruments.set.GetOrCreateHistogram(fmt.Sprintf("dotterel_staged_job_seconds{status=%q}", job.Status())).Update(float64(job.Ended-job.Accepted) / 1000)
--- a/conductor/plan.go
+++ b/conductor/plan.go
@@ -49,6 +49,7 @@
 		Quiet:            conductor.quiet,
 		OnTrial:          conductor.taskOnTrial,
 		Trials:           conductor.countTrials(),
+		Waiter:           conductor.waiter,
 	})
 	conductor.summary = pass.Run()
 	conductor.scarce = pass.Scarce()
--- a/internal/cellrunner/settings.go
+++ b/internal/cellrunner/settings.go
@@ -100,6 +100,7 @@
 	set.Duration(&settings.Staged.GangWait, 100*time.Millisecond, 10*time.Minute, configurer.Key{Section: "Staged", Name: "GangWait", Default: "3s", Help: "How long the first task of a gang waits at its worker for the others; before that time it is not treated as stalled."})
 	set.Strings(&settings.Staged.DataCentres, configurer.Key{Section: "Staged", Name: "DataCentres", Help: "Names of data centres that may be evacuated although no worker of theirs was ever announced."})
 	set.Bool(&settings.Staged.Admission, configurer.Key{Section: "Staged", Name: "Admission", Default: "false", Help: "Whether a staged job is refused on submission if it is forecast to finish after its callers have stopped waiting, three times its objective; with false, every well-formed job is accepted."})
+	set.Float(&settings.Staged.RemotePenalty, 1, 100, configurer.Key{Section: "Staged", Name: "RemotePenalty", Help: "How many times as long a task runs on a worker of another rack than its data, and a gang that needs one rack on several; used for a queue until it has been observed. Steps may wait for near room if it is above 1; if it is 1 or empty, none waits."})
 	set.Duration(&settings.StagedKeepEnded, time.Minute, 30*24*time.Hour, configurer.Key{Section: "Staged", Name: "KeepEnded", Default: "1h", Help: "Retention of a staged job after its end, during which it can be queried and its ID cannot be used for a new job."})
 	settings.TLS.Declare(set)
 	set.Check(settings.check)
