--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -149,6 +149,9 @@
 	trials int
 	// scarce is true if the waiting steps need more than what is free.
 	scarce bool
+	// free is what is free on all candidates, and awaited what the steps that wait for an
+	// answer need, other than those whose callers no longer wait.
+	free, awaited modeller.Resources
 	// lastRank is the highest queueRank of the waiting steps.
 	lastRank int
 	// longBusy is true once an adviser was not free for a long question, and shortBusy for
@@ -220,7 +223,15 @@
 			suspects = append(suspects, step)
 			continue
 		}
-		*allotter.placeOrAsk(step, &summary)++
+		if allotter.yields(step) {
+			summary.NoRoom++
+			continue
+		}
+		waitsFor := allotter.placeOrAsk(step, &summary)
+		*waitsFor++
+		if waitsFor == &summary.Asking && step.urgency < givenUp {
+			allotter.awaited = allotter.awaited.Add(step.spec.Demand().Times(int64(len(step.tasks))))
+		}
 	}
 	for _, step := range suspects {
 		if step.paused && allotter.trialsFull(likelyTrialDivisor) {
@@ -235,6 +246,13 @@
 // Scarce reports, after Run, whether the waiting steps needed more than what was free.
 func (allotter *Allotter) Scarce() bool { return allotter.scarce }
 
+// yields reports whether a step whose callers no longer wait, or that lies beyond its
+// account's weight, leaves the room that is free to the steps that wait for an answer: it
+// would fill the fleet in the short time until they may use it.
+func (allotter *Allotter) yields(step *readyStep) bool {
+	return allotter.scarce && step.urgency == givenUp && !step.answered && !allotter.awaited.Add(step.minSize()).Fits(allotter.free)
+}
+
 // reservedBefore reports whether room is reserved for a gang whose question is on its way
 // or was answered.
 func (allotter *Allotter) reservedBefore(step *readyStep) bool {
--- a/allotter/order.go
+++ b/allotter/order.go
@@ -90,15 +90,15 @@
 
 // exceedsRoom reports whether the steps need more than what is free.
 func (allotter *Allotter) exceedsRoom(steps []*readyStep) bool {
-	var needed, free modeller.Resources
+	var needed modeller.Resources
 	for _, step := range steps {
 		needed = needed.Add(step.spec.Demand().Times(int64(len(step.tasks))))
 	}
 	for index := range allotter.config.Candidates {
 		worker := allotter.config.Candidates[index].Worker
-		free = free.Add(worker.Capacity.Sub(worker.Used()))
+		allotter.free = allotter.free.Add(worker.Capacity.Sub(worker.Used()))
 	}
-	return !needed.Fits(free)
+	return !needed.Fits(allotter.free)
 }
 
 // Values of readyStep.urgency.
--- a/allotter/place.go
+++ b/allotter/place.go
@@ -154,6 +154,7 @@
 		return 0
 	}
 	allotter.reserve(step, workersOf(placement))
+	allotter.free = allotter.free.Sub(step.spec.Demand().Times(int64(len(placement.Tasks))))
 	return len(placement.Tasks)
 }
 
