Budgets of memory and connections for the platform's listeners

The listeners of callers and control accepted no connection once their quota was open, so that some 200 silent connections blocked them for good, and nothing bounded what heads, bodies and their decoded form hold together. Package budgeter charges each connection for what net/http and the handlers are about to keep and closes the one that holds most; at the limit of connections it closes the one that has been without a whole head for longest. Readiness and metrics have budgets of their own, and Go's memory limit of an entry comes from MemoryMiB.

TestAFullListenerPausesAndGoesOn required the pause that silent connections abuse; TestAnOrdinaryRequestIsServedBesideSilentConnections replaces it. A header line is charged 160 bytes: net/http keeps 105 of one as measured by TestTheChargeCoversWhatNetHTTPKeeps.

--- /dev/null
+++ b/budgeter/limits.go
@@ -0,0 +1,101 @@
+package budgeter
+
+import (
+	"runtime/debug"
+	"time"
+
+	"github.com/dotterelrill/dotterelrill/configurer"
+)
+
+// maxEmptyBytes bounds the empty lines before a request. net/http accepts up to 4 bytes
+// of them after a POST, which some old clients send.
+const maxEmptyBytes = 16
+
+// Limits bound what one client may send and how long it may take.
+type Limits struct {
+	// ConnectionMiB is the memory for the connections of one listener, in MiB; 0 is a
+	// part of the memory of the process.
+	ConnectionMiB int64
+	// HeadBytes and HeadLines bound the head of a request.
+	HeadBytes, HeadLines int64
+	// HeadTimeout bounds the time from the first byte of a head to its end,
+	// IdleTimeout that before the first byte, BodyTimeout that of a body, and
+	// AnswerTimeout that for which a client reads nothing of an answer.
+	HeadTimeout, IdleTimeout, BodyTimeout, AnswerTimeout time.Duration
+	// Objects and Members bound the JSON objects of a body, and the members of its
+	// objects and arrays.
+	Objects, Members int64
+	// SideConnections bounds the connections for each of readiness and metrics.
+	SideConnections int64
+}
+
+// Set declares the limits.
+func (limits *Limits) Set(set *configurer.Set) {
+	const section = "Limits"
+	set.Int(&limits.ConnectionMiB, 0, 1<<20, configurer.Key{Section: section, Name: "ConnectionMiB", Default: "0", Help: "Memory for the connections to one listener and their requests, in MiB; above it, the connection that holds most is closed. With 0 it is a fifth of the memory of the process, or 32 MiB if that is not known."})
+	set.Int(&limits.HeadBytes, 1024, 1<<20, configurer.Key{Section: section, Name: "HeadBytes", Default: "20480", Help: "Maximum size of a request's head, in bytes."})
+	set.Int(&limits.HeadLines, 16, 1<<20, configurer.Key{Section: section, Name: "HeadLines", Default: "8192", Help: "Maximum number of lines of a request's head."})
+	set.Duration(&limits.HeadTimeout, 100*time.Millisecond, time.Minute, configurer.Key{Section: section, Name: "HeadTimeout", Default: "4s", Help: "Maximum time from the first byte of a request's head to its end."})
+	set.Duration(&limits.IdleTimeout, time.Second, time.Hour, configurer.Key{Section: section, Name: "IdleTimeout", Default: "20s", Help: "How long a connection may stay open without a request."})
+	set.Duration(&limits.BodyTimeout, 100*time.Millisecond, time.Hour, configurer.Key{Section: section, Name: "BodyTimeout", Default: "30s", Help: "Maximum time for the reading of a request's body."})
+	set.Duration(&limits.AnswerTimeout, 100*time.Millisecond, time.Hour, configurer.Key{Section: section, Name: "AnswerTimeout", Default: "10s", Help: "How long a client may read nothing of an answer."})
+	set.Int(&limits.Objects, 16, 1<<24, configurer.Key{Section: section, Name: "Objects", Default: "8192", Help: "Maximum number of JSON objects in a request's body."})
+	set.Int(&limits.Members, 64, 1<<24, configurer.Key{Section: section, Name: "Members", Default: "262144", Help: "Maximum number of members of JSON objects and arrays in a request's body."})
+	set.Int(&limits.SideConnections, 4, 1<<16, configurer.Key{Section: section, Name: "SideConnections", Default: "64", Help: "Maximum number of connections for each of readiness and metrics."})
+}
+
+// SetMemory declares the memory of a process.
+func SetMemory(set *configurer.Set, memoryMiB *int64) {
+	set.Int(memoryMiB, 0, 1<<24, configurer.Key{Section: "Limits", Name: "MemoryMiB", Default: "0", Help: "Memory that the process may use, in MiB; garbage is collected more often as the heap nears a part of it. With 0, no limit is known."})
+}
+
+// DefaultLimits returns the limits of a process without settings for them.
+func DefaultLimits() Limits {
+	return Limits{
+		HeadBytes: 20480, HeadLines: 8192, HeadTimeout: 4 * time.Second, IdleTimeout: 20 * time.Second,
+		BodyTimeout: 30 * time.Second, AnswerTimeout: 10 * time.Second, Objects: 8192, Members: 262144, SideConnections: 64,
+	}
+}
+
+const bytesPerMiB int64 = 1 << 20
+
+const (
+	// connectionDivisor is the part of the memory of a process that its connections
+	// get. What they hold and the garbage that they leave then stay below the limit
+	// that LimitMemory sets.
+	connectionDivisor = 5
+	// unknownMiB is the memory of connections if that of the process is not known.
+	unknownMiB = 32
+	// sideMiB is the memory of connections for each of readiness and metrics.
+	sideMiB = 2
+)
+
+// Bytes returns the memory of the connections of one listener in a process with
+// memoryMiB, or 0 if that is not known.
+func (limits *Limits) Bytes(memoryMiB int64) int64 {
+	switch {
+	case limits.ConnectionMiB > 0:
+		return limits.ConnectionMiB * bytesPerMiB
+	case memoryMiB > 0:
+		return memoryMiB * bytesPerMiB / connectionDivisor
+	}
+	return unknownMiB * bytesPerMiB
+}
+
+// Connections returns how many connections a budget of the given bytes carries, at most
+// limit: open connections take half of it, so that the other half is left for requests.
+func Connections(bytes int64, limit int) int {
+	return max(min(limit, int(bytes/2/connectionBytes)), 1)
+}
+
+// memoryPercent is the part of a process's memory that Go's heap may take without its
+// garbage being collected more often. The rest is for the program's own pages, for what
+// the kernel keeps, and for the other process of the same VM.
+const memoryPercent = 40
+
+// LimitMemory sets Go's memory limit from that of the process, unless that is 0.
+func LimitMemory(memoryMiB int64) {
+	if memoryMiB > 0 {
+		debug.SetMemoryLimit(memoryMiB * bytesPerMiB * memoryPercent / 100)
+	}
+}
--- a/internal/cellrunner/settings.go
+++ b/internal/cellrunner/settings.go
@@ -22,6 +22,7 @@
 import (
 	"time"
 
+	"github.com/dotterelrill/dotterelrill/budgeter"
 	"github.com/dotterelrill/dotterelrill/certifier"
 	"github.com/dotterelrill/dotterelrill/conductor"
 	"github.com/dotterelrill/dotterelrill/configurer"
@@ -66,6 +67,11 @@
 	QuarantineFirstStay time.Duration
 	QuarantineMostStay  time.Duration
 	QuarantinePercent   int64
+
+	// MemoryMiB is the memory that the process may use, or 0 if it is not known.
+	MemoryMiB int64
+	// Limits bound what clients take of it.
+	Limits budgeter.Limits
 }
 
 // Set declares the keys that are read into settings.
@@ -100,6 +106,8 @@
 	set.Duration(&settings.Staged.GangWait, 100*time.Millisecond, 10*time.Minute, configurer.Key{Section: "Staged", Name: "GangWait", Default: "3s", Help: "How long the first task of a gang waits at its worker for the others; before that time it is not treated as stalled."})
 	set.Duration(&settings.StagedKeepEnded, time.Minute, 30*24*time.Hour, configurer.Key{Section: "Staged", Name: "KeepEnded", Default: "1h", Help: "Retention of a staged job after its end, during which it can be queried and its ID cannot be used for a new job."})
 	settings.TLS.Declare(set)
+	budgeter.SetMemory(set, &settings.MemoryMiB)
+	settings.Limits.Set(set)
 	set.Check(settings.check)
 	return set
 }
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -4,9 +4,10 @@
 //
 // Load it answers: a thousand workers that each need connections, and come again all at
 // once after a change of leader. The log and the connections to other replicas come first, then the connections
-// of workers and operators, then those to workers. A Quota enforces one part:
-// at its limit a listener stops accepting, and a dialer waits, until a connection
-// closes. Neither fails the process.
+// of workers and operators, then those to workers. A Quota enforces the part of a dialer,
+// which waits at its limit until a connection closes. The part of a listener is enforced
+// by package budgeter: a listener that waits could be kept waiting by clients that send
+// nothing.
 package rationer
 
 import (
@@ -49,8 +50,6 @@
 	slots chan struct{}
 	// Waited counts the connections that had to wait for a slot.
 	Waited atomic.Int64
-	// OnFull, if set, is called when a connection has to wait. It must not block.
-	OnFull func()
 }
 
 // NewQuota returns a quota of limit connections.
@@ -59,25 +58,19 @@
 // Open returns how many connections are open.
 func (quota *Quota) Open() int { return len(quota.slots) }
 
-// acquire takes a slot. It returns the context's error, or net.ErrClosed if closed
-// is closed first.
-func (quota *Quota) acquire(ctx context.Context, closed <-chan struct{}) error {
+// acquire takes a slot. It returns the context's error.
+func (quota *Quota) acquire(ctx context.Context) error {
 	select {
 	case quota.slots <- struct{}{}:
 		return nil
 	default:
 	}
 	quota.Waited.Add(1)
-	if quota.OnFull != nil {
-		quota.OnFull()
-	}
 	select {
 	case quota.slots <- struct{}{}:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
-	case <-closed:
-		return net.ErrClosed
 	}
 }
 
@@ -86,7 +79,7 @@
 // Dial calls dial once a slot is free, and keeps the slot until the connection is
 // closed. Its errors are those of dial and of the context.
 func (quota *Quota) Dial(ctx context.Context, dial func(context.Context) (net.Conn, error)) (net.Conn, error) {
-	if err := quota.acquire(ctx, nil); err != nil {
+	if err := quota.acquire(ctx); err != nil {
 		return nil, err
 	}
 	dialled, err := dial(ctx)
@@ -97,37 +90,6 @@
 	return &connection{Conn: dialled, release: sync.OnceFunc(quota.release)}, nil
 }
 
-// Listener returns a listener that accepts a connection only once a slot is free.
-func (quota *Quota) Listener(inner net.Listener) net.Listener {
-	return &listener{Listener: inner, quota: quota, closed: make(chan struct{})}
-}
-
-type listener struct {
-	net.Listener
-	quota     *Quota
-	closed    chan struct{}
-	closeOnce sync.Once
-}
-
-// Accept implements net.Listener.
-func (listener *listener) Accept() (net.Conn, error) {
-	if err := listener.quota.acquire(context.Background(), listener.closed); err != nil {
-		return nil, err
-	}
-	accepted, err := listener.Listener.Accept()
-	if err != nil {
-		listener.quota.release()
-		return nil, err
-	}
-	return &connection{Conn: accepted, release: sync.OnceFunc(listener.quota.release)}, nil
-}
-
-// Close implements net.Listener.
-func (listener *listener) Close() error {
-	listener.closeOnce.Do(func() { close(listener.closed) })
-	return listener.Listener.Close()
-}
-
 // connection returns its slot when it is closed.
 type connection struct {
 	net.Conn
