Budgets for the listeners of dotterel-entry and dotterel-cell

Their servers had no bound on connections, read bodies without one on what they decode to, and kept idle connections without end. They now have the budgets of package budgeter: one for the listener of callers, operators and workers, one for metrics. A request is marked as forwarded before it is proposed, and refused with NotServing if its connection was closed for memory before.

Heads of connections with TLS are bounded by net/http alone, since they can't be scanned before they are decrypted.

--- a/budgeter/guard.go
+++ b/budgeter/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 
@@ -104,6 +105,32 @@
 	return conn
 }
 
+// Listen listens on the address.
+func (guard *Guard) Listen(address string) (net.Listener, error) {
+	inner, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return guard.Listener(inner), nil
+}
+
+// metricsBytes is charged for an answer with a process's metrics, which is built in
+// memory.
+const metricsBytes = 128 << 10
+
+// ServeMetrics returns a handler that answers with what write writes.
+func ServeMetrics(write func(io.Writer)) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if conn := connOf(request.Context()); conn != nil {
+			if err := conn.account.Charge(metricsBytes); err != nil {
+				http.Error(writer, err.Error(), http.StatusServiceUnavailable)
+				return
+			}
+		}
+		write(writer)
+	})
+}
+
 // Listener returns a listener whose connections are guarded.
 func (guard *Guard) Listener(inner net.Listener) net.Listener {
 	return &listener{Listener: inner, guard: guard}
--- a/certifier/certifier.go
+++ b/certifier/certifier.go
@@ -202,12 +202,12 @@
 // Serve runs an HTTP server until it is closed, with TLS if the settings name
 // certificates. Clients may present a certificate; one that the authority did
 // not sign is rejected.
-func (certifier *Certifier) Serve(server *http.Server) error {
+func (certifier *Certifier) Serve(server *http.Server, listener net.Listener) error {
 	if !certifier.Enabled() {
-		return server.ListenAndServe()
+		return server.Serve(listener)
 	}
 	server.TLSConfig = certifier.ServerConfig(tls.VerifyClientCertIfGiven, "h2", "http/1.1")
-	return server.ListenAndServeTLS("", "")
+	return server.ServeTLS(listener, "", "")
 }
 
 // Authenticated reports whether the client of a request presented a certificate
--- a/cmd/dotterel-cell/main.go
+++ b/cmd/dotterel-cell/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/dotterelrill/dotterelrill/budgeter"
 	"github.com/dotterelrill/dotterelrill/internal/cellrunner"
 	"github.com/dotterelrill/dotterelrill/internal/programmer"
 )
@@ -18,6 +19,7 @@
 	daemon := programmer.Daemon{
 		Settings: settings.Set(),
 		Run: func(ctx context.Context, logger log.Logger) error {
+			budgeter.LimitMemory(settings.MemoryMiB)
 			return cellrunner.New(settings, logger).Run(ctx)
 		},
 	}
--- a/internal/cellrunner/runner.go
+++ b/internal/cellrunner/runner.go
@@ -21,6 +21,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 
+	"github.com/dotterelrill/dotterelrill/budgeter"
 	"github.com/dotterelrill/dotterelrill/certifier"
 	"github.com/dotterelrill/dotterelrill/internal/logger"
 	"github.com/dotterelrill/dotterelrill/journaler"
@@ -153,12 +154,18 @@
 
 func (runner *Runner) addMetricsServer(group *run.Group) {
 	mux := http.NewServeMux()
-	mux.HandleFunc("/metrics", func(writer http.ResponseWriter, _ *http.Request) { runner.writeMetrics(writer) })
+	mux.Handle("/metrics", budgeter.ServeMetrics(runner.writeMetrics))
 	mux.HandleFunc("/healthy", func(writer http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprintln(writer, "ok") })
 	mux.HandleFunc("/ready", runner.ready)
-	server := &http.Server{Addr: runner.settings.MetricsAddress, Handler: mux, ReadHeaderTimeout: time.Second}
+	server := &http.Server{Handler: mux}
+	guard := budgeter.NewSideGuard("metrics", runner.settings.Limits, runner.counters.set, runner.logger)
+	guard.Apply(server)
 	group.Add(func() error {
-		if err := server.ListenAndServe(); err != http.ErrServerClosed {
+		listener, err := guard.Listen(runner.settings.MetricsAddress)
+		if err == nil {
+			err = server.Serve(listener)
+		}
+		if !errors.Is(err, http.ErrServerClosed) {
 			return eris.Wrap(err, "serve metrics")
 		}
 		return nil
--- a/internal/entryrunner/call.go
+++ b/internal/entryrunner/call.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dotterelrill/dotterelrill/applier"
+	"github.com/dotterelrill/dotterelrill/budgeter"
 	"github.com/dotterelrill/dotterelrill/coder"
 	"github.com/dotterelrill/dotterelrill/locator"
 	"github.com/dotterelrill/dotterelrill/messenger"
@@ -12,6 +13,9 @@
 )
 
 func (runner *Runner) propose(ctx context.Context, command *applier.Command) (applier.Result, *coder.Refusal) {
+	if err := budgeter.Forward(ctx); err != nil {
+		return applier.Result{}, refuseNotServing(err.Error())
+	}
 	command.Cell = runner.cellName()
 	reply, refusal := locator.Ask(ctx, runner.locator, messenger.CellClient.Propose,
 		proposalRefusal, &messenger.ProposeRequest{Command: *command})
@@ -58,6 +62,9 @@
 }
 
 func (runner *Runner) member(ctx context.Context, request *messenger.MemberRequest) *coder.Refusal {
+	if err := budgeter.Forward(ctx); err != nil {
+		return refuseNotServing(err.Error())
+	}
 	request.Cell = runner.cellName()
 	_, refusal := locator.Ask(ctx, runner.locator, messenger.CellClient.Member,
 		func(reply *messenger.JoinReply) *coder.Refusal { return reply.Refusal }, request)
@@ -78,6 +85,14 @@
 	return client.History(ctx, request, visit)
 }
 
+// beat sends a heartbeat with those of other workers.
+func (runner *Runner) beat(ctx context.Context, heartbeat *messenger.Heartbeat) (*messenger.HeartbeatAnswer, *coder.Refusal) {
+	if err := budgeter.Forward(ctx); err != nil {
+		return nil, refuseNotServing(err.Error())
+	}
+	return runner.gatherer.Beat(ctx, heartbeat)
+}
+
 // Limits of the requests that carry batches of heartbeats. The wait is short
 // compared with the time within which urgent work must start.
 const (
--- a/internal/entryrunner/runner.go
+++ b/internal/entryrunner/runner.go
@@ -122,6 +122,6 @@
 		Member:    runner.member,
 		History:   runner.history,
 	}).Register(router)
-	workerserver.New(workerserver.Config{BodyLimit: runner.settings.BeatLimit, Authenticated: runner.certifier.Authenticated, Beat: runner.gatherer.Beat}).Register(router)
+	workerserver.New(workerserver.Config{BodyLimit: runner.settings.BeatLimit, Authenticated: runner.certifier.Authenticated, Beat: runner.beat}).Register(router)
 	return router
 }
--- a/internal/entryrunner/server.go
+++ b/internal/entryrunner/server.go
@@ -7,23 +7,30 @@
 	"net/http"
 	"time"
 
+	"github.com/labstack/echo/v4"
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
-)
 
-const readHeaderTimeout = 5 * time.Second
+	"github.com/dotterelrill/dotterelrill/budgeter"
+	"github.com/dotterelrill/dotterelrill/rationer"
+)
 
 // addServer adds the HTTP server for callers, operators and workers. When it
 // ends, the entry ends.
 func (runner *Runner) addServer(ctx context.Context, group *run.Group) {
-	server := &http.Server{Addr: runner.settings.Address, Handler: runner.router(), ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{Handler: runner.router()}
+	guard := runner.newGuard()
+	guard.Apply(server)
 	closed := make(chan struct{})
 	group.Add(func() error {
 		stop := context.AfterFunc(ctx, func() {
 			defer close(closed)
 			runner.shutDown(server)
 		})
-		err := runner.certifier.Serve(server)
+		listener, err := guard.Listen(runner.settings.Address)
+		if err == nil {
+			err = runner.certifier.Serve(server, listener)
+		}
 		if !errors.Is(err, http.ErrServerClosed) {
 			stop()
 			return eris.Wrapf(err, "serve at %s", runner.settings.Address)
@@ -35,6 +42,18 @@
 	}, func(error) { _ = server.Close() })
 }
 
+// newGuard returns the guard of the listener for callers, operators and workers.
+func (runner *Runner) newGuard() *budgeter.Guard {
+	settings := runner.settings
+	bytes := settings.Limits.Bytes(settings.MemoryMiB)
+	return budgeter.NewGuard(budgeter.GuardConfig{
+		Kind: "callers", Limits: settings.Limits,
+		Bytes: bytes, Connections: budgeter.Connections(bytes, rationer.Divide(int(settings.Descriptors)).Workers),
+		ClientOf:  func(request *http.Request) string { return request.Header.Get(echo.HeaderAuthorization) },
+		Encrypted: runner.certifier.Enabled(), Logger: runner.logger, Metrics: runner.metrics.set,
+	})
+}
+
 // cancelWaitsMargin is how long before the end of ShutdownTimeout waiting
 // requests are refused with ShuttingDown. It is longer than one wait at the
 // leader, so that they are answered before the server closes.
@@ -57,12 +76,18 @@
 // all other parts have ended.
 func (runner *Runner) addMetrics(group *run.Group) {
 	mux := http.NewServeMux()
-	mux.HandleFunc("/metrics", func(writer http.ResponseWriter, _ *http.Request) { runner.writeMetrics(writer) })
+	mux.Handle("/metrics", budgeter.ServeMetrics(runner.writeMetrics))
 	mux.HandleFunc("/healthy", func(writer http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprintln(writer, "ok") })
 	mux.HandleFunc("/ready", runner.ready)
-	server := &http.Server{Addr: runner.settings.MetricsAddress, Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{Handler: mux}
+	guard := budgeter.NewSideGuard("metrics", runner.settings.Limits, runner.metrics.set, runner.logger)
+	guard.Apply(server)
 	group.Add(func() error {
-		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		listener, err := guard.Listen(runner.settings.MetricsAddress)
+		if err == nil {
+			err = server.Serve(listener)
+		}
+		if !errors.Is(err, http.ErrServerClosed) {
 			return eris.Wrapf(err, "serve metrics at %s", runner.settings.MetricsAddress)
 		}
 		return nil
--- a/internal/entryrunner/settings.go
+++ b/internal/entryrunner/settings.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/dotterelrill/dotterelrill/budgeter"
 	"github.com/dotterelrill/dotterelrill/certifier"
 	"github.com/dotterelrill/dotterelrill/configurer"
 	"github.com/dotterelrill/dotterelrill/keyer"
@@ -38,6 +39,12 @@
 	MostInFlight      int64
 
 	TLS certifier.Files
+	// Descriptors is how many file descriptors the process may have open, and
+	// MemoryMiB the memory that it may use, or 0 if it is not known.
+	Descriptors int64
+	MemoryMiB   int64
+	// Limits bound what clients take of it.
+	Limits budgeter.Limits
 
 	operators []operatorserver.Operator
 }
@@ -62,6 +69,9 @@
 	set.Int(&settings.AdmissionBurst, 1, 1_000_000, configurer.Key{Section: "Admission", Name: "Burst", Default: "1000", Help: "Number of submissions that an idle client account may send to this entry at once."})
 	set.Int(&settings.MostInFlight, 1, 100_000, configurer.Key{Section: "Admission", Name: "MostInFlight", Default: "128", Help: "Maximum number of submissions of one client account in flight at this entry."})
 	settings.TLS.Declare(set)
+	set.Int(&settings.Descriptors, 400, 1<<20, configurer.Key{Section: "Limits", Name: "Descriptors", Default: "1024", Help: "Number of file descriptors that the process may have open; the connections of callers, operators and workers are limited so that the process always finds some."})
+	budgeter.SetMemory(set, &settings.MemoryMiB)
+	settings.Limits.Set(set)
 	set.Check(settings.check)
 	return set
 }
--- a/internal/standinrunner/runner.go
+++ b/internal/standinrunner/runner.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"time"
 
@@ -82,10 +83,14 @@
 	router.HTTPErrorHandler = responder.HandleError
 	router.POST(workerserver.StartPath, runner.handleStart)
 	router.POST(workerserver.StopPath, runner.handleStop)
-	server := &http.Server{Addr: cmp.Or(runner.settings.ListenAddress, runner.settings.Address), Handler: router, ReadHeaderTimeout: time.Second}
+	server := &http.Server{Handler: router, ReadHeaderTimeout: time.Second}
 	var group run.Group
 	group.Add(func() error {
-		if err := runner.certifier.Serve(server); !errors.Is(err, http.ErrServerClosed) {
+		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", cmp.Or(runner.settings.ListenAddress, runner.settings.Address))
+		if err == nil {
+			err = runner.certifier.Serve(server, listener)
+		}
+		if !errors.Is(err, http.ErrServerClosed) {
 			return eris.Wrap(err, "serve starts and stops")
 		}
 		return nil
--- a/responder/responder.go
+++ b/responder/responder.go
@@ -4,6 +4,7 @@
 package responder
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
@@ -14,6 +15,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/dotterelrill/dotterelrill/applier"
+	"github.com/dotterelrill/dotterelrill/budgeter"
 	"github.com/dotterelrill/dotterelrill/coder"
 	"github.com/dotterelrill/dotterelrill/modeller"
 )
@@ -86,14 +88,28 @@
 	return context.JSON(row.Status, answer)
 }
 
+// noMemoryRetryAfter is the delay after which a request may be sent again that found no
+// memory. What holds the memory is answered, or closed, within seconds.
+const noMemoryRetryAfter = time.Second
+
 // Decode decodes a request's JSON body into value. The body must not be larger
 // than limit bytes and must hold a single value without unknown fields; otherwise
 // the refusal is BodyTooLarge or Malformed.
 func Decode(context echo.Context, limit int64, value any) *coder.Refusal {
-	reader := http.MaxBytesReader(context.Response(), context.Request().Body, limit)
-	decoder := json.NewDecoder(reader)
+	data, err := budgeter.ReadBody(context.Request(), limit)
+	switch {
+	case errors.Is(err, budgeter.ErrTooLarge):
+		return coder.Refuse(coder.BodyTooLarge, "the body is larger than %d bytes", limit)
+	case errors.Is(err, budgeter.ErrClosed), errors.Is(err, budgeter.ErrFull):
+		refusal := coder.Refuse(coder.NotServing, "%v", err)
+		refusal.RetryAfter, refusal.NotProposed = noMemoryRetryAfter, true
+		return refusal
+	case err != nil:
+		return coder.Refuse(coder.Malformed, "cannot read the body: %v", err)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
-	err := decoder.Decode(value)
+	err = decoder.Decode(value)
 	if err == nil {
 		_, err = decoder.Token()
 		if err == nil {
@@ -102,10 +118,6 @@
 			err = nil
 		}
 	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return coder.Refuse(coder.BodyTooLarge, "the body is larger than %d bytes", limit)
-	}
 	if err != nil {
 		return coder.Refuse(coder.Malformed, "the body is not the expected JSON: %v", err)
 	}
