--- a/budgeter/limits.go
+++ b/budgeter/limits.go
@@ -70,16 +70,37 @@
 	sideMiB = 2
 )
 
-// Bytes returns the memory of the connections of one listener in a process with
-// memoryMiB, or 0 if that is not known.
-func (limits *Limits) Bytes(memoryMiB int64) int64 {
-	switch {
-	case limits.ConnectionMiB > 0:
-		return limits.ConnectionMiB * bytesPerMiB
-	case memoryMiB > 0:
-		return memoryMiB * bytesPerMiB / connectionDivisor
+// bodyMultiple is how many times the largest body a budget must hold, so that one
+// request of that size is served when there is no other: the body, the buffer that it
+// grows from, and what it is decoded to.
+const bodyMultiple = 4
+
+// Bytes returns the memory of the connections of one listener with bodies of up to
+// bodyBytes, in a process with memoryMiB, or 0 if that is not known.
+func (limits *Limits) Bytes(memoryMiB, bodyBytes int64) int64 {
+	bytes := limits.ConnectionMiB * bytesPerMiB
+	if bytes == 0 {
+		bytes = unknownMiB * bytesPerMiB
+		if memoryMiB > 0 {
+			bytes = memoryMiB * bytesPerMiB / connectionDivisor
+		}
+	}
+	return max(bytes, bodyMultiple*bodyBytes)
+}
+
+// Check returns the faults of the limits in a process with memoryMiB, or 0 if that is
+// not known, that reads bodies of up to bodyBytes.
+func (limits *Limits) Check(memoryMiB, bodyBytes int64) []configurer.Fault {
+	if limits.ConnectionMiB == 0 {
+		return nil
+	}
+	if limits.ConnectionMiB*bytesPerMiB < bodyMultiple*bodyBytes {
+		return []configurer.Fault{{Section: "Limits", Key: "ConnectionMiB", Problem: "too little for one request of the largest size", Allowed: "at least 4 times the largest body"}}
+	}
+	if memoryMiB > 0 && limits.ConnectionMiB > memoryMiB/2 {
+		return []configurer.Fault{{Section: "Limits", Key: "ConnectionMiB", Problem: "more than half of the memory of the process", Allowed: "at most half of MemoryMiB"}}
 	}
-	return unknownMiB * bytesPerMiB
+	return nil
 }
 
 // Connections returns how many connections a budget of the given bytes carries, at most
--- a/budgeter/scanner.go
+++ b/budgeter/scanner.go
@@ -1,5 +1,7 @@
 package budgeter
 
+import "bytes"
+
 // headerLineBytes is charged for each line of a head: net/http keeps a map entry, a
 // slice and two strings of it, 105 bytes as measured, and half as much again while the
 // map grows.
@@ -14,48 +16,46 @@
 type scanner struct {
 	// bytes and lines count the head so far; emptyBytes the empty lines before it.
 	bytes, lines, emptyBytes int
-	// lineBytes is the length of the current line without CR and LF.
+	// lineBytes is the length of the current line so far, with a CR that may belong to
+	// its end; endsInCR is true if that is its last byte.
 	lineBytes int
-	// sawCR is true if the last byte was a CR, which belongs to the line unless an LF
-	// follows.
-	sawCR bool
-	done  bool
+	endsInCR  bool
+	done      bool
 }
 
 // feed counts data, which follows what was fed before, up to the end of the head.
 func (scanner *scanner) feed(data []byte) {
-	for index := 0; index < len(data) && !scanner.done; index++ {
-		switch letter := data[index]; {
-		case letter == '\n':
-			scanner.endLine()
-		case scanner.sawCR:
-			scanner.lineBytes += 2
-			scanner.sawCR = false
-			if letter == '\r' {
-				scanner.lineBytes--
-				scanner.sawCR = true
-			}
-		case letter == '\r':
-			scanner.sawCR = true
-		default:
-			scanner.lineBytes++
+	for len(data) > 0 && !scanner.done {
+		end := bytes.IndexByte(data, '\n')
+		part := data
+		if end >= 0 {
+			part = data[:end]
+		}
+		if len(part) > 0 {
+			scanner.lineBytes += len(part)
+			scanner.endsInCR = part[len(part)-1] == '\r'
 		}
-		if scanner.lines > 0 || scanner.lineBytes > 0 {
-			scanner.bytes++
-		} else {
-			scanner.emptyBytes++
+		scanner.bytes += len(part)
+		if end < 0 {
+			return
 		}
+		scanner.bytes++
+		scanner.endLine()
+		data = data[end+1:]
 	}
 }
 
 func (scanner *scanner) endLine() {
 	switch {
-	case scanner.lineBytes > 0:
+	case scanner.lineBytes > 1 || scanner.lineBytes == 1 && !scanner.endsInCR:
 		scanner.lines++
 	case scanner.lines > 0:
 		scanner.done = true
+	default:
+		scanner.emptyBytes += scanner.lineBytes + 1
+		scanner.bytes -= scanner.lineBytes + 1
 	}
-	scanner.lineBytes, scanner.sawCR = 0, false
+	scanner.lineBytes, scanner.endsInCR = 0, false
 }
 
 // cost returns what the head costs so far, in bytes.
--- a/internal/entryrunner/server.go
+++ b/internal/entryrunner/server.go
@@ -45,7 +45,7 @@
 // newGuard returns the guard of the listener for callers, operators and workers.
 func (runner *Runner) newGuard() *budgeter.Guard {
 	settings := runner.settings
-	bytes := settings.Limits.Bytes(settings.MemoryMiB)
+	bytes := settings.Limits.Bytes(settings.MemoryMiB, max(settings.BodyLimit, settings.BeatLimit))
 	return budgeter.NewGuard(budgeter.GuardConfig{
 		Kind: "callers", Limits: settings.Limits,
 		Bytes: bytes, Connections: budgeter.Connections(bytes, rationer.Divide(int(settings.Descriptors)).Workers),
--- a/internal/entryrunner/settings.go
+++ b/internal/entryrunner/settings.go
@@ -87,6 +87,7 @@
 	if settings.WorkerConnections < settings.MostEntries {
 		faults = append(faults, configurer.Fault{Section: "Workers", Key: "MostEntries", Problem: "leaves less than one connection per entry", Allowed: "at most Connections"})
 	}
+	faults = append(faults, settings.Limits.Check(settings.MemoryMiB, max(settings.BodyLimit, settings.BeatLimit))...)
 	settings.operators = nil
 	for _, pair := range settings.OperatorKeys {
 		name, text, _ := strings.Cut(pair, ":")
