Connections wait their turn, forwarded requests leave room for others

A full listener closed the oldest connection without a whole head at once, so that a burst of workers after a change of leader would have closed its own. It now gives each connection 200 ms for its head, and holds new ones back until then. A client may have no more forwarded requests than are left for all clients, so that forwarded requests, which are never closed, leave room for others; the rest is refused before it is forwarded. Reads are not protected, and a worker on control is a client of its own.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -8,7 +8,8 @@
 // the connection that holds most is closed; when the connections pass their number, the
 // one that has been without a whole head for longest. A request that was forwarded is
 // never closed for either, unless its client does not read the answer, since its caller
-// could not know whether it runs.
+// could not know whether it runs. So that forwarded requests leave room for others, a
+// client may have no more of them than are left for all clients.
 //
 // Budget and scanner need no network. Conn and Guard connect them with net/http.
 package budgeter
@@ -24,7 +25,8 @@
 var (
 	// ErrClosed is returned on an account whose connection was closed.
 	ErrClosed = errors.New("the connection was closed to free memory")
-	// ErrFull is returned if the budget is taken by requests that were forwarded.
+	// ErrFull is returned if the budget, or the client's part of it, is taken by requests
+	// that were forwarded.
 	ErrFull = errors.New("no memory is left for the request")
 )
 
@@ -41,6 +43,14 @@
 	smallBytes = 64 << 10
 	// answerGrace is how long the writing of an answer protects a forwarded request.
 	answerGrace = time.Second
+	// phaseGrace is how long a connection is in a phase before it is closed for its
+	// descriptor. All workers connect at once after a change of leader, and each must
+	// get to send its request.
+	phaseGrace = 200 * time.Millisecond
+	// Forwarded requests take at most forwardedParts in partsOfAll of the connections
+	// and of the bytes, so that the rest can be closed for new ones.
+	forwardedParts = 7
+	partsOfAll     = 8
 )
 
 // Phase is what a connection is at.
@@ -81,18 +91,33 @@
 	// mutex is free.
 	held     int64
 	accounts []*Account
+	// forwarded sums up the accounts in phase Forwarded.
+	forwarded usage
 	// clients holds the clients that have an account.
 	clients map[string]*client
 	// changes numbers the changes of phases.
 	changes uint64
 }
 
+// usage is a number of accounts and the sum of their charges.
+type usage struct {
+	accounts int
+	bytes    int64
+}
+
+func (usage *usage) add(accounts int, bytes int64) {
+	usage.accounts += accounts
+	usage.bytes += bytes
+}
+
 // client is an address, or the key of a client account once it is known.
 type client struct {
 	name string
 	// held is the sum of the charges of its accounts, and accounts their number.
 	held     int64
 	accounts int
+	// forwarded sums up those of its accounts that are in phase Forwarded.
+	forwarded usage
 }
 
 // New returns an empty budget.
@@ -135,13 +160,15 @@
 	client *client
 	held   int64
 	phase  Phase
-	// changed is the number of the last change of phase.
-	changed uint64
+	// changed is the number of the last change of phase, and changedAt the time of the
+	// last one to Fresh or Reading.
+	changed   uint64
+	changedAt time.Time
 }
 
 // Open opens an account for a connection from the address. At the limit of connections
-// it closes the one that is least likely to be missed. It returns false if there is no
-// room for the new one.
+// it closes the one that is least likely to be missed. It returns false if none can be
+// closed yet.
 func (budget *Budget) Open(address string, closeConnection func()) (*Account, bool) {
 	account := &Account{budget: budget, address: address, closeConnection: closeConnection}
 	budget.mutex.Lock()
@@ -149,7 +176,6 @@
 	if len(budget.accounts) >= budget.config.Connections {
 		if stalest = budget.stalest(); stalest == nil {
 			budget.mutex.Unlock()
-			budget.config.Report(Descriptors, address)
 			return nil, false
 		}
 		budget.remove(stalest)
@@ -191,6 +217,7 @@
 // remove closes the account.
 func (budget *Budget) remove(account *Account) {
 	account.add(-account.held)
+	account.setPhase(Idle)
 	budget.leave(account.client)
 	last := budget.accounts[len(budget.accounts)-1]
 	budget.accounts[account.index], last.index = last, account.index
@@ -203,11 +230,29 @@
 	account.held += bytes
 	account.client.held += bytes
 	account.budget.held += bytes
+	if account.phase == Forwarded {
+		account.client.forwarded.add(0, bytes)
+		account.budget.forwarded.add(0, bytes)
+	}
 }
 
 func (account *Account) setPhase(phase Phase) {
+	account.countForwarded(-1)
 	account.budget.changes++
 	account.phase, account.changed = phase, account.budget.changes
+	if phase == Fresh || phase == Reading {
+		account.changedAt = account.budget.config.Now()
+	}
+	account.countForwarded(1)
+}
+
+// countForwarded adds the account to the sums of forwarded ones, or removes it with -1,
+// if it is in that phase.
+func (account *Account) countForwarded(sign int) {
+	if account.phase == Forwarded {
+		account.client.forwarded.add(sign, int64(sign)*account.held)
+		account.budget.forwarded.add(sign, int64(sign)*account.held)
+	}
 }
 
 // protected reports whether the connection must not be closed.
@@ -246,8 +291,9 @@
 	return heaviest
 }
 
-// stalest returns the connection to close for its descriptor, or nil: one without a
-// whole head, else an idle one, else one that reads, in each case the oldest.
+// stalest returns the connection to close for its descriptor: one without a whole head,
+// else an idle one, else one that reads, in each case the oldest. It returns nil if there
+// is none, or if that one must be given more time.
 func (budget *Budget) stalest() *Account {
 	var stalest *Account
 	for _, account := range budget.accounts {
@@ -255,6 +301,9 @@
 			stalest = account
 		}
 	}
+	if stalest != nil && stalest.phase != Idle && budget.config.Now().Sub(stalest.changedAt) < phaseGrace {
+		return nil
+	}
 	return stalest
 }
 
@@ -337,10 +386,26 @@
 	})
 }
 
-// Forward marks the request as one that may run. It returns ErrClosed if the connection
-// was closed before, in which case the request must not be forwarded.
+// Forward marks the request as one that may run. It must not be forwarded if the error is
+// not nil: ErrClosed if the connection was closed before, or ErrFull if the client has
+// as many forwarded requests, or as many bytes in them, as are left for all clients.
 func (account *Account) Forward() error {
-	return account.charge(0, func() { account.setPhase(Forwarded) })
+	budget := account.budget
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	if account.index < 0 {
+		return ErrClosed
+	}
+	if account.phase == Forwarded {
+		return nil
+	}
+	own, all := &account.client.forwarded, &budget.forwarded
+	if own.accounts+1 > max(budget.config.Connections*forwardedParts/partsOfAll, 1)-all.accounts ||
+		own.bytes+account.held > budget.config.Bytes*forwardedParts/partsOfAll-all.bytes {
+		return ErrFull
+	}
+	account.setPhase(Forwarded)
+	return nil
 }
 
 // EndRequest takes back the charges of an answered request.
--- a/budgeter/guard.go
+++ b/budgeter/guard.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
@@ -133,28 +135,48 @@
 
 // Listener returns a listener whose connections are guarded.
 func (guard *Guard) Listener(inner net.Listener) net.Listener {
-	return &listener{Listener: inner, guard: guard}
+	return &listener{Listener: inner, guard: guard, closed: make(chan struct{})}
 }
 
 type listener struct {
 	net.Listener
-	guard *Guard
+	guard     *Guard
+	closed    chan struct{}
+	closeOnce sync.Once
 }
 
-// Accept implements net.Listener. It closes a connection for which there is no room.
+// roomInterval is the time between two looks for room for an accepted connection.
+const roomInterval = 5 * time.Millisecond
+
+// Accept implements net.Listener. It holds a connection back until there is room for it.
 func (listener *listener) Accept() (net.Conn, error) {
-	for {
-		accepted, err := listener.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if conn := listener.guard.open(accepted); conn != nil {
+	accepted, err := listener.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	for waited := false; ; waited = true {
+		conn := listener.guard.open(accepted)
+		if conn != nil {
 			return conn, nil
 		}
-		_ = accepted.Close()
+		if !waited {
+			listener.guard.reporter.report(Waited, accepted.RemoteAddr().String())
+		}
+		select {
+		case <-listener.closed:
+			_ = accepted.Close()
+			return nil, net.ErrClosed
+		case <-time.After(roomInterval):
+		}
 	}
 }
 
+// Close implements net.Listener.
+func (listener *listener) Close() error {
+	listener.closeOnce.Do(func() { close(listener.closed) })
+	return listener.Listener.Close()
+}
+
 // open returns the guarded connection, or nil if there is no room for it.
 func (guard *Guard) open(accepted net.Conn) *Conn {
 	conn := &Conn{Conn: accepted, guard: guard}
--- a/budgeter/report.go
+++ b/budgeter/report.go
@@ -17,8 +17,10 @@
 
 // The causes.
 const (
-	Memory       Cause = "Memory"
-	Descriptors  Cause = "Descriptors"
+	Memory      Cause = "Memory"
+	Descriptors Cause = "Descriptors"
+	// Waited is for a connection that was not closed, but had to wait for room.
+	Waited       Cause = "Waited"
 	HeadTooLarge Cause = "HeadTooLarge"
 	TooManyLines Cause = "TooManyLines"
 	EmptyLines   Cause = "EmptyLines"
@@ -31,7 +33,7 @@
 	AnswerTimeout Cause = "AnswerTimeout"
 )
 
-var causes = []Cause{Memory, Descriptors, HeadTooLarge, TooManyLines, EmptyLines, HeadTimeout, BodyTooLarge, BodyTimeout, TooManyMembers, AnswerTimeout}
+var causes = []Cause{Memory, Descriptors, Waited, HeadTooLarge, TooManyLines, EmptyLines, HeadTimeout, BodyTooLarge, BodyTimeout, TooManyMembers, AnswerTimeout}
 
 // Bounds of the log lines.
 const (
