--- a/budgeter/conn.go
+++ b/budgeter/conn.go
@@ -121,7 +121,7 @@
 	conn.mutex.Unlock()
 	if cause != "" {
 		conn.guard.reporter.report(cause, conn.address)
-		_ = conn.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+		_ = conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
 		_, _ = io.WriteString(conn.Conn, headRefusal)
 		return &net.OpError{Op: "read", Err: errHeadRefused}
 	}
@@ -177,7 +177,7 @@
 	for {
 		now := time.Now()
 		conn.account.writingSince.Store(now.UnixNano())
-		_ = conn.Conn.SetWriteDeadline(now.Add(conn.guard.config.Limits.AnswerTimeout))
+		_ = conn.SetWriteDeadline(now.Add(conn.guard.config.Limits.AnswerTimeout))
 		count, err := conn.Conn.Write(data[written:min(len(data), written+maxWrite)])
 		written += count
 		if err != nil && errors.Is(err, os.ErrDeadlineExceeded) {
--- a/budgeter/guard_test.go
+++ b/budgeter/guard_test.go
@@ -128,10 +128,10 @@
 	server := serve(t, budgeter.GuardConfig{Bytes: 2 << 20, Connections: 10, Limits: limits})
 	idle := server.dial(t.Context(), "")
 	slow := server.dial(t.Context(), "GET / HTTP/1.1\r\n")
-	ended := make(chan error, 1)
+	ended := make(chan struct{})
 	go func() {
-		_, err := io.Copy(io.Discard, slow)
-		ended <- err
+		defer close(ended)
+		_, _ = io.Copy(io.Discard, slow)
 	}()
 	for open := true; open; {
 		select {
