--- a/budgeter/body.go
+++ b/budgeter/body.go
@@ -44,6 +44,8 @@
 	if err == nil {
 		conn.endBody()
 		err = conn.chargeDecoding(data)
+	} else if conn.account.isClosed() {
+		err = ErrClosed
 	}
 	switch {
 	case errors.Is(err, ErrTooLarge):
--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -418,6 +418,13 @@
 	}
 }
 
+// isClosed reports whether the account is closed.
+func (account *Account) isClosed() bool {
+	account.budget.mutex.Lock()
+	defer account.budget.mutex.Unlock()
+	return account.index < 0
+}
+
 // End closes the account of a closed connection.
 func (account *Account) End() {
 	account.budget.mutex.Lock()
--- a/internal/entryrunner/server.go
+++ b/internal/entryrunner/server.go
@@ -48,7 +48,7 @@
 	bytes := settings.Limits.Bytes(settings.MemoryMiB, max(settings.BodyLimit, settings.BeatLimit))
 	return budgeter.NewGuard(budgeter.GuardConfig{
 		Kind: "callers", Limits: settings.Limits,
-		Bytes: bytes, Connections: budgeter.Connections(bytes, rationer.Divide(int(settings.Descriptors)).Workers),
+		Bytes: bytes, Connections: budgeter.Connections(bytes, rationer.Divide(rationer.Descriptors(int(settings.Descriptors))).Workers),
 		ClientOf:  func(request *http.Request) string { return request.Header.Get(echo.HeaderAuthorization) },
 		Encrypted: runner.certifier.Enabled(), Logger: runner.logger, Metrics: runner.metrics.set,
 	})
--- a/internal/entryrunner/settings.go
+++ b/internal/entryrunner/settings.go
@@ -69,7 +69,7 @@
 	set.Int(&settings.AdmissionBurst, 1, 1_000_000, configurer.Key{Section: "Admission", Name: "Burst", Default: "1000", Help: "Number of submissions that an idle client account may send to this entry at once."})
 	set.Int(&settings.MostInFlight, 1, 100_000, configurer.Key{Section: "Admission", Name: "MostInFlight", Default: "128", Help: "Maximum number of submissions of one client account in flight at this entry."})
 	settings.TLS.Declare(set)
-	set.Int(&settings.Descriptors, 400, 1<<20, configurer.Key{Section: "Limits", Name: "Descriptors", Default: "1024", Help: "Number of file descriptors that the process may have open; the connections of callers, operators and workers are limited so that the process always finds some."})
+	set.Int(&settings.Descriptors, 0, 1<<20, configurer.Key{Section: "Limits", Name: "Descriptors", Default: "0", Help: "Number of file descriptors that the process may have open; the connections of callers, operators and workers are limited so that the process always finds some. With 0 it is the limit that the system sets for the process."})
 	budgeter.SetMemory(set, &settings.MemoryMiB)
 	settings.Limits.Set(set)
 	set.Check(settings.check)
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -37,6 +38,19 @@
 	minRation = 16
 )
 
+// Descriptors returns how many descriptors the process may have open: the number set, or
+// the system's limit if that is 0.
+func Descriptors(set int) int {
+	if set > 0 {
+		return set
+	}
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil {
+		return reservedDescriptors
+	}
+	return int(min(limit.Cur, math.MaxInt32))
+}
+
 // Divide divides the descriptors that a process may have open.
 func Divide(descriptors int) Ration {
 	rest := max(descriptors-reservedDescriptors, 0)
