--- a/budgeter/limits.go
+++ b/budgeter/limits.go
@@ -32,7 +32,7 @@
 // Set declares the limits.
 func (limits *Limits) Set(set *configurer.Set) {
 	const section = "Limits"
-	set.Int(&limits.ConnectionMiB, 0, 1<<20, configurer.Key{Section: section, Name: "ConnectionMiB", Default: "0", Help: "Memory for the connections to one listener and their requests, in MiB; above it, the connection that holds most is closed. With 0 it is a fifth of the memory of the process, or 32 MiB if that is not known."})
+	set.Int(&limits.ConnectionMiB, 0, 1<<20, configurer.Key{Section: section, Name: "ConnectionMiB", Default: "0", Help: "Memory for the connections to one listener and their requests, in MiB; above it, the connection that holds most is closed. With 0 it is a fifth of the memory of the process, or 20 MiB if that is not known."})
 	set.Int(&limits.HeadBytes, 1024, 1<<20, configurer.Key{Section: section, Name: "HeadBytes", Default: "20480", Help: "Maximum size of a request's head, in bytes."})
 	set.Int(&limits.HeadLines, 16, 1<<20, configurer.Key{Section: section, Name: "HeadLines", Default: "8192", Help: "Maximum number of lines of a request's head."})
 	set.Duration(&limits.HeadTimeout, 100*time.Millisecond, time.Minute, configurer.Key{Section: section, Name: "HeadTimeout", Default: "4s", Help: "Maximum time from the first byte of a request's head to its end."})
@@ -64,8 +64,9 @@
 	// get. What they hold and the garbage that they leave then stay below the limit
 	// that LimitMemory sets.
 	connectionDivisor = 5
-	// unknownMiB is the memory of connections if that of the process is not known.
-	unknownMiB = 32
+	// unknownMiB is the memory of connections if that of the process is not known. With
+	// the garbage that they leave it fits the smallest VM twice.
+	unknownMiB = 20
 	// sideMiB is the memory of connections for each of readiness and metrics.
 	sideMiB = 2
 )
