Assume 100 MiB for an entry whose settings state no memory

Without a memory limit, 200 clients with bodies that stop short raised an entry to 76 MiB: the 20 MiB that its connections hold, as much again of garbage and what an idle entry takes. An entry keeps no state, so that a limit that is too low costs it only processor time.

--- a/budgeter/limits.go
+++ b/budgeter/limits.go
@@ -44,9 +44,9 @@
 	set.Int(&limits.SideConnections, 4, 1<<16, configurer.Key{Section: section, Name: "SideConnections", Default: "64", Help: "Maximum number of connections for each of readiness and metrics."})
 }
 
-// SetMemory declares the memory of a process.
-func SetMemory(set *configurer.Set, memoryMiB *int64) {
-	set.Int(memoryMiB, 0, 1<<24, configurer.Key{Section: "Limits", Name: "MemoryMiB", Default: "0", Help: "Memory that the process may use, in MiB; garbage is collected more often as the heap nears a part of it. With 0, no limit is known."})
+// SetMemory declares the memory of a process and its default.
+func SetMemory(set *configurer.Set, memoryMiB *int64, defaultMiB string) {
+	set.Int(memoryMiB, 0, 1<<24, configurer.Key{Section: "Limits", Name: "MemoryMiB", Default: defaultMiB, Help: "Memory that the process may use, in MiB; garbage is collected more often as the heap nears a part of it. With 0, no limit is known."})
 }
 
 // DefaultLimits returns the limits of a process without settings for them.
--- a/internal/cellrunner/settings.go
+++ b/internal/cellrunner/settings.go
@@ -106,7 +106,7 @@
 	set.Duration(&settings.Staged.GangWait, 100*time.Millisecond, 10*time.Minute, configurer.Key{Section: "Staged", Name: "GangWait", Default: "3s", Help: "How long the first task of a gang waits at its worker for the others; before that time it is not treated as stalled."})
 	set.Duration(&settings.StagedKeepEnded, time.Minute, 30*24*time.Hour, configurer.Key{Section: "Staged", Name: "KeepEnded", Default: "1h", Help: "Retention of a staged job after its end, during which it can be queried and its ID cannot be used for a new job."})
 	settings.TLS.Declare(set)
-	budgeter.SetMemory(set, &settings.MemoryMiB)
+	budgeter.SetMemory(set, &settings.MemoryMiB, "0")
 	settings.Limits.Set(set)
 	set.Check(settings.check)
 	return set
--- a/internal/entryrunner/settings.go
+++ b/internal/entryrunner/settings.go
@@ -16,6 +16,10 @@
 	"github.com/dotterelrill/dotterelrill/operatorserver"
 )
 
+// defaultMemoryMiB is the memory of an entry that states none. An entry keeps no state,
+// and takes 20 MiB without requests.
+const defaultMemoryMiB = "100"
+
 // Settings are the settings of dotterel-entry, as read from its file.
 type Settings struct {
 	CellName        string
@@ -70,7 +74,7 @@
 	set.Int(&settings.MostInFlight, 1, 100_000, configurer.Key{Section: "Admission", Name: "MostInFlight", Default: "128", Help: "Maximum number of submissions of one client account in flight at this entry."})
 	settings.TLS.Declare(set)
 	set.Int(&settings.Descriptors, 0, 1<<20, configurer.Key{Section: "Limits", Name: "Descriptors", Default: "0", Help: "Number of file descriptors that the process may have open; the connections of callers, operators and workers are limited so that the process always finds some. With 0 it is the limit that the system sets for the process."})
-	budgeter.SetMemory(set, &settings.MemoryMiB)
+	budgeter.SetMemory(set, &settings.MemoryMiB, defaultMemoryMiB)
 	settings.Limits.Set(set)
 	set.Check(settings.check)
 	return set
