--- a/budgeter/body.go
+++ b/budgeter/body.go
@@ -152,3 +152,12 @@
 	}
 	return nil
 }
+
+// Charge charges bytes that the handler of a request is about to keep until its answer.
+// If it returns an error, they must not be taken.
+func Charge(ctx context.Context, bytes int64) error {
+	if conn := connOf(ctx); conn != nil {
+		return conn.account.Charge(bytes)
+	}
+	return nil
+}
