Count elements of lists as objects, refuse bodies of very small objects

A list of nulls or numbers in place of steps was charged 48 bytes for each, though each is decoded to a whole step: 8,013 bytes allocated 2.8 MB (fuzz tests of the decoders, seeds of FuzzSubmission). An element of a list of the outermost object now counts as an object, and objects of less than 24 bytes each are refused with Malformed, beyond the first 32.

--- a/budgeter/body.go
+++ b/budgeter/body.go
@@ -23,14 +23,17 @@
 	// decoded strings, and encoded for the leader.
 	bodyCopies = 2
 	// objectBytes and memberBytes are charged for what a JSON object, and a member of
-	// an object or array, is decoded to. The largest object is a step, of 250 bytes as
-	// it is sent and 200 bytes as it is forwarded, in slices that grow by half.
-	objectBytes = 768
+	// an object or array, is decoded to. Decoding allocates up to 760 bytes for a step
+	// and 1,370 for a queue in all, of which a part is garbage by its end.
+	objectBytes = 1024
 	memberBytes = 48
 	// fewObjects and fewMembers are the counts up to which what stands in strings
-	// counts too, which is faster.
-	fewObjects = 64
-	fewMembers = 1024
+	// counts too, which is faster, and all elements of lists count as members.
+	fewObjects = 32
+	fewMembers = 64
+	// smallestObject is the least mean size of objects in a body, beyond fewObjects. A
+	// step with a number of tasks, a size and a run time has 50 bytes.
+	smallestObject = 24
 )
 
 // ReadBody reads the body of a request of at most limit bytes, and charges it and its
@@ -39,6 +42,9 @@
 	conn := connOf(request.Context())
 	data, err := conn.readBody(request, limit)
 	if conn == nil {
+		if err == nil {
+			err = CheckJSON(data)
+		}
 		return data, err
 	}
 	if err == nil {
@@ -117,31 +123,81 @@
 	if objects > limits.Objects || members > limits.Members {
 		return ErrTooManyMembers
 	}
+	if err := checkDensity(objects, len(data)); err != nil {
+		return err
+	}
 	return conn.account.Charge(int64(len(data))*bodyCopies + objects*objectBytes + members*memberBytes)
 }
 
-// countJSON counts the objects of a JSON text, and the commas between members.
+// countJSON counts the objects of a JSON text, and the commas between members. Elements
+// of the lists of the outermost object, such as steps, count as objects whatever they
+// are: each takes up an object's room even if it is null or of another type.
 func countJSON(data []byte) (objects, members int64) {
 	objects, members = int64(bytes.Count(data, []byte{'{'})), int64(bytes.Count(data, []byte{','}))
 	if objects <= fewObjects && members <= fewMembers {
 		return objects, members
 	}
-	objects, members = 0, 0
+	counter := jsonCounter{}
 	inString := false
 	for index := 0; index < len(data); index++ {
 		switch letter := data[index]; {
-		case letter == '"':
-			inString = !inString
 		case inString && letter == '\\':
 			index++
-		case inString:
-		case letter == '{':
-			objects++
-		case letter == ',':
-			members++
+		case letter == '"':
+			inString = !inString
+		case !inString:
+			counter.count(letter)
+		}
+	}
+	return counter.objects, counter.members
+}
+
+// jsonCounter counts the structure of a JSON text.
+type jsonCounter struct {
+	objects, members int64
+	depth            int
+	// inList is true within a list of the outermost object.
+	inList bool
+}
+
+// count counts a byte that is not in a string.
+func (counter *jsonCounter) count(letter byte) {
+	isElement := counter.inList && counter.depth == listDepth
+	switch letter {
+	case '{', '[':
+		counter.depth++
+		if counter.depth == listDepth {
+			counter.inList = letter == '['
+		}
+		if letter == '{' && !isElement || counter.depth == listDepth && counter.inList {
+			counter.objects++
+		}
+	case '}', ']':
+		counter.depth--
+	case ',':
+		if isElement {
+			counter.objects++
+		} else {
+			counter.members++
 		}
 	}
-	return objects, members
+}
+
+// listDepth is the depth of the lists of the outermost object.
+const listDepth = 2
+
+// CheckJSON returns ErrTooManyMembers for a JSON text whose objects are so small that
+// what they are decoded to takes many times the text.
+func CheckJSON(data []byte) error {
+	objects, _ := countJSON(data)
+	return checkDensity(objects, len(data))
+}
+
+func checkDensity(objects int64, size int) error {
+	if objects > fewObjects+int64(size/smallestObject) {
+		return ErrTooManyMembers
+	}
+	return nil
 }
 
 // Forward marks a request as one that may run, so that its connection is not closed to
--- a/budgeter/scanner_test.go
+++ b/budgeter/scanner_test.go
@@ -111,14 +111,31 @@
 	rapid.Check(t, func(t *rapid.T) {
 		payload := rapid.StringMatching(`[{},"\\a]{0,30}`).Draw(t, "payload")
 		steps := rapid.IntRange(70, 100).Draw(t, "steps")
+		if steps%2 == 0 {
+			payload += strings.Repeat(",", 100)
+		}
 		value := map[string]any{"payload": payload, "steps": make([]struct{ A, B int }, steps)}
 		data, err := json.Marshal(value)
 		if err != nil {
 			t.Fatal(err)
 		}
 		objects, members := budgeter.CountJSON(data)
-		if objects != int64(steps)+1 || members != int64(steps)+1+int64(steps)-1 {
+		if objects != int64(steps)+1 || members != int64(steps)+1 {
 			t.Fatalf("counted %d objects and %d commas in %s", objects, members, data)
 		}
 	})
 }
+
+// TestElementsOfListsCountAsObjects guards against lists of numbers, nulls or strings in
+// place of steps, each of which is decoded to a whole step.
+func TestElementsOfListsCountAsObjects(t *testing.T) {
+	for _, element := range []string{"0", "null", `""`, "[]", "{}", `{"a":[1,2]}`} {
+		data := []byte(`{"steps":[` + strings.Repeat(element+",", 4999) + element + `],"spec":"x"}`)
+		objects, _ := budgeter.CountJSON(data)
+		qt.Check(t, objects, qt.Equals, int64(5001), qt.Commentf("%s", element))
+		qt.Check(t, budgeter.CheckJSON(data), qt.ErrorIs, budgeter.ErrTooManyMembers)
+	}
+	step := `{"count":1,"cpu":500,"memMb":100,"estimateMs":100,"after":[1,2,3]}`
+	job := []byte(`{"spec":"x","steps":[` + strings.Repeat(step+",", 999) + step + `]}`)
+	qt.Check(t, budgeter.CheckJSON(job), qt.IsNil)
+}
