--- a/internal/cellrunner/settings.go
+++ b/internal/cellrunner/settings.go
@@ -22,6 +22,7 @@
 import (
 	"time"
 
+	"github.com/dotterelrill/dotterelrill/budgeter"
 	"github.com/dotterelrill/dotterelrill/certifier"
 	"github.com/dotterelrill/dotterelrill/conductor"
 	"github.com/dotterelrill/dotterelrill/configurer"
@@ -66,6 +67,11 @@
 	QuarantineFirstStay time.Duration
 	QuarantineMostStay  time.Duration
 	QuarantinePercent   int64
+
+	// MemoryMiB is the memory that the process may use, or 0 if it is not known.
+	MemoryMiB int64
+	// Limits bound what clients take of it.
+	Limits budgeter.Limits
 }
 
 // Set declares the keys that are read into settings.
@@ -103,6 +109,8 @@
 	set.Float(&settings.Staged.RemotePenalty, 1, 100, configurer.Key{Section: "Staged", Name: "RemotePenalty", Help: "How many times as long a task runs on a worker of another rack than its data, and a gang that needs one rack on several; used for a queue until it has been observed. Steps may wait for near room if it is above 1; if it is 1 or empty, none waits."})
 	set.Duration(&settings.StagedKeepEnded, time.Minute, 30*24*time.Hour, configurer.Key{Section: "Staged", Name: "KeepEnded", Default: "1h", Help: "Retention of a staged job after its end, during which it can be queried and its ID cannot be used for a new job."})
 	settings.TLS.Declare(set)
+	budgeter.SetMemory(set, &settings.MemoryMiB, "0")
+	settings.Limits.Set(set)
 	set.Check(settings.check)
 	return set
 }
--- a/internal/entryrunner/settings.go
+++ b/internal/entryrunner/settings.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/dotterelrill/dotterelrill/budgeter"
 	"github.com/dotterelrill/dotterelrill/certifier"
 	"github.com/dotterelrill/dotterelrill/configurer"
 	"github.com/dotterelrill/dotterelrill/keyer"
@@ -15,6 +16,10 @@
 	"github.com/dotterelrill/dotterelrill/operatorserver"
 )
 
+// defaultMemoryMiB is the memory of an entry that states none. An entry keeps no state,
+// and takes 20 MiB without requests.
+const defaultMemoryMiB = "100"
+
 // Settings are the settings of dotterel-entry, as read from its file.
 type Settings struct {
 	CellName        string
@@ -38,6 +43,12 @@
 	MostInFlight      int64
 
 	TLS certifier.Files
+	// Descriptors is how many file descriptors the process may have open, and
+	// MemoryMiB the memory that it may use, or 0 if it is not known.
+	Descriptors int64
+	MemoryMiB   int64
+	// Limits bound what clients take of it.
+	Limits budgeter.Limits
 
 	operators []operatorserver.Operator
 }
@@ -62,6 +73,9 @@
 	set.Int(&settings.AdmissionBurst, 1, 1_000_000, configurer.Key{Section: "Admission", Name: "Burst", Default: "1000", Help: "Number of submissions that an idle client account may send to this entry at once."})
 	set.Int(&settings.MostInFlight, 1, 100_000, configurer.Key{Section: "Admission", Name: "MostInFlight", Default: "128", Help: "Maximum number of submissions of one client account in flight at this entry."})
 	settings.TLS.Declare(set)
+	set.Int(&settings.Descriptors, 0, 1<<20, configurer.Key{Section: "Limits", Name: "Descriptors", Default: "0", Help: "Number of file descriptors that the process may have open; the connections of callers, operators and workers are limited so that the process always finds some. With 0 it is the limit that the system sets for the process."})
+	budgeter.SetMemory(set, &settings.MemoryMiB, defaultMemoryMiB)
+	settings.Limits.Set(set)
 	set.Check(settings.check)
 	return set
 }
@@ -77,6 +91,7 @@
 	if settings.WorkerConnections < settings.MostEntries {
 		faults = append(faults, configurer.Fault{Section: "Workers", Key: "MostEntries", Problem: "leaves less than one connection per entry", Allowed: "at most Connections"})
 	}
+	faults = append(faults, settings.Limits.Check(settings.MemoryMiB, max(settings.BodyLimit, settings.BeatLimit))...)
 	settings.operators = nil
 	for _, pair := range settings.OperatorKeys {
 		name, text, _ := strings.Cut(pair, ":")
