stager: reads of an account change nothing, and what is left of its intake

Cause: Used, Room and Weight of an account that the state did not know added a record, so that two queries of one state, which hold its lock for reading only, could write the same map. What is left of an account's intake could not be read. Change: reads look the record up only. IntakeLeft holds the arithmetic of takeIn at a given time, unchanged for the replicas, and Using names the accounts whose live attempts occupy room. Measured: go test ./stager passes.

--- a/stager/intake.go
+++ b/stager/intake.go
@@ -13,25 +13,35 @@
 
 // Weight returns the client account's weight; it is zero if the deployment does not list the
 // account.
-func (state *State) Weight(name modeller.ClientAccountName) int64 { return state.usageOf(name).weight }
+func (state *State) Weight(name modeller.ClientAccountName) int64 { return state.usage(name).weight }
 
-// takeIn counts a job of a client account, and reports whether it lies beyond the account's
-// weight. It rests on the time of the log alone, so that all replicas agree, and a time
-// that steps back between two terms adds nothing.
-func (state *State) takeIn(name modeller.ClientAccountName) bool {
+// IntakeLeft returns how many thousandths of a job a client account may still hand in within
+// its weight at a time of the leader. It is zero for an account that the deployment does not
+// list, whose jobs are never marked.
+func (state *State) IntakeLeft(name modeller.ClientAccountName, now modeller.Millis) int64 {
 	weight := state.Weight(name)
 	if weight == 0 {
-		return false
+		return 0
 	}
 	intake, known := state.Intakes[name]
 	full := weight * 1000
 	if !known {
-		intake = Intake{Thousandths: full, At: state.Now}
+		return full
+	}
+	if passed := int64(now - intake.At); passed > 0 {
+		return min(full, intake.Thousandths+min(passed, 1000)*weight)
 	}
-	if passed := int64(state.Now - intake.At); passed > 0 {
-		intake.Thousandths = min(full, intake.Thousandths+min(passed, 1000)*weight)
+	return intake.Thousandths
+}
+
+// takeIn counts a job of a client account, and reports whether it lies beyond the account's
+// weight. It rests on the time of the log alone, so that all replicas agree, and a time
+// that steps back between two terms adds nothing.
+func (state *State) takeIn(name modeller.ClientAccountName) bool {
+	if state.Weight(name) == 0 {
+		return false
 	}
-	intake.At = state.Now
+	intake := Intake{Thousandths: state.IntakeLeft(name, state.Now), At: state.Now}
 	excess := intake.Thousandths < 1000
 	if !excess {
 		intake.Thousandths -= 1000
--- a/stager/intake_test.go
+++ b/stager/intake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -88,3 +89,37 @@
 		c.Check(state.Jobs[id].Excess, qt.IsFalse)
 	}
 }
+
+// TestTheIntakeThatIsLeftIsShown guards against an account that is shown as exhausted long
+// after its last job, one that is shown less than it may hand in, and an intake that
+// changes when it is read.
+func TestTheIntakeThatIsLeftIsShown(t *testing.T) {
+	c := qt.New(t)
+	state := newIntakeState(c, 2)
+	c.Check(state.IntakeLeft("a", 5000), qt.Equals, int64(2000), qt.Commentf("nothing handed in"))
+	c.Check(submitAt(c, state, 5000, 1), qt.IsFalse)
+	c.Check(state.IntakeLeft("a", 5000), qt.Equals, int64(1000))
+	c.Check(state.IntakeLeft("a", 4000), qt.Equals, int64(1000), qt.Commentf("the clock stepped back"))
+	c.Check(submitAt(c, state, 5000, 2), qt.IsFalse)
+	c.Check(state.IntakeLeft("a", 5000), qt.Equals, int64(0))
+	c.Check(state.IntakeLeft("a", 5250), qt.Equals, int64(500))
+	c.Check(state.IntakeLeft("a", 60_000), qt.Equals, int64(2000))
+	c.Check(state.IntakeLeft("unlisted", 5000), qt.Equals, int64(0))
+	c.Check(submitAt(c, state, 5000, 3), qt.IsTrue, qt.Commentf("a look at the intake filled it"))
+}
+
+// TestAnAccountIsReadConcurrently guards against a query that changes the state while
+// another one reads it; the race detector or the map itself reports that.
+func TestAnAccountIsReadConcurrently(t *testing.T) {
+	state := newIntakeState(qt.New(t), 2)
+	var readers sync.WaitGroup
+	for reader := range 4 {
+		readers.Go(func() {
+			for number := range 1000 {
+				name := modeller.ClientAccountName(fmt.Sprint(reader, number))
+				_, _, _, _ = state.Weight(name), state.Used(name), state.Room(name), state.IntakeLeft(name, 1)
+			}
+		})
+	}
+	readers.Wait()
+}
--- a/stager/state.go
+++ b/stager/state.go
@@ -167,6 +167,16 @@
 	}
 }
 
+// usage returns the use and limits of a client account without recording the account, so
+// that concurrent readers may call it.
+func (state *State) usage(name modeller.ClientAccountName) accountUsage {
+	if usage := state.usages[name]; usage != nil {
+		return *usage
+	}
+	return accountUsage{}
+}
+
+// usageOf returns the record of a client account, which it adds if there is none.
 func (state *State) usageOf(name modeller.ClientAccountName) *accountUsage {
 	usage := state.usages[name]
 	if usage == nil {
@@ -206,13 +216,24 @@
 
 // Used returns the resources of a client account's live attempts.
 func (state *State) Used(name modeller.ClientAccountName) modeller.Resources {
-	return state.usageOf(name).used
+	return state.usage(name).used
+}
+
+// Using returns the client accounts whose live attempts occupy room, in no particular order.
+func (state *State) Using() []modeller.ClientAccountName {
+	var names []modeller.ClientAccountName
+	for name, usage := range state.usages {
+		if !usage.used.IsZero() {
+			names = append(names, name)
+		}
+	}
+	return names
 }
 
 // Room returns what a client account may use in addition; a component without a
 // limit is very large.
 func (state *State) Room(name modeller.ClientAccountName) modeller.Resources {
-	usage := state.usageOf(name)
+	usage := state.usage(name)
 	return modeller.Resources{
 		MilliProcessors: remaining(usage.limit.MilliProcessors, usage.used.MilliProcessors),
 		MemoryMiB:       remaining(usage.limit.MemoryMiB, usage.used.MemoryMiB),
