Operators list the client accounts of staged jobs with dotterelctl

Cause: under overload, which account hands in beyond its weight shows only in log lines and a counter of the leader. Change: dotterelctl account list, a table or JSON, shows for each account its weight, limit, use, open jobs, those not started, those beyond the weight, and what is left of its intake. The list StagedAccounts of the overview is computed from the leader's committed state at its time, and kept nowhere.

--- a/internal/cellrunner/service.go
+++ b/internal/cellrunner/service.go
@@ -232,7 +232,12 @@
 			reply.Members = append(reply.Members, messenger.MemberRow{Member: member, Leader: member.ID == status.Leader})
 		}
 	}
-	runner.stateMachine.read(func(state *applier.State) { fillQuery(state, request, reply) })
+	runner.stateMachine.read(func(state *applier.State) {
+		fillQuery(state, request, reply)
+		if request.StagedAccounts && state.Staged != nil {
+			reply.StagedAccounts = messenger.NewStagedAccountRows(state.Staged, runner.now())
+		}
+	})
 	if _, refusal := runner.requireLeadership(request.Cell); refusal != nil {
 		return &messenger.QueryReply{Refusal: refusal}, nil
 	}
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -78,7 +78,7 @@
 		Subcommands: []*ffcli.Command{
 			commander.templateGroup(stderr), commander.keyGroup(stderr), commander.submitCommand(stderr), commander.cancelCommand(stderr),
 			commander.statusCommand(stderr), commander.jobGroup(stderr), commander.explainCommand(stderr), commander.workerGroup(stderr),
-			commander.dataCentreGroup(stderr), commander.memberGroup(stderr), commander.queueGroup(stderr), commander.historyCommand(stderr), commander.watchCommand(stderr),
+			commander.accountGroup(stderr), commander.dataCentreGroup(stderr), commander.memberGroup(stderr), commander.queueGroup(stderr), commander.historyCommand(stderr), commander.watchCommand(stderr),
 		},
 		Exec: showHelp,
 	}
--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -110,6 +110,9 @@
 			reply.DataCentres = append(reply.DataCentres, messenger.DataCentreRow{Name: name, Evacuated: dataCentre.Evacuated, Restored: dataCentre.Restored, Workers: len(fakeEntry.state.Workers)})
 		}
 	}
+	if request.StagedAccounts {
+		reply.StagedAccounts = messenger.NewStagedAccountRows(fakeEntry.state.Staged, fakeEntry.state.Staged.Now)
+	}
 	for hash, key := range fakeEntry.state.Keys {
 		reply.Keys = append(reply.Keys, messenger.KeyRow{Fingerprint: hash.Fingerprint(), ClientAccount: key.ClientAccount, Granted: key.Granted, Withdrawn: key.Withdrawn})
 	}
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -171,8 +171,8 @@
 // QueryRequest asks for an overview of the state.
 type QueryRequest struct {
 	Cell modeller.CellName
-	// The fields from Accounts to DataCentres select the lists to return.
-	Accounts, Workers, Jobs, Keys, Members, Templates, DataCentres bool
+	// The fields from Accounts to StagedAccounts select the lists to return.
+	Accounts, Workers, Jobs, Keys, Members, Templates, DataCentres, StagedAccounts bool
 	// ClientAccount limits jobs and queues to one account, if it is set.
 	ClientAccount modeller.ClientAccountName
 	// Open limits jobs to those without an outcome.
@@ -200,6 +200,8 @@
 	Templates []modeller.Template
 	// DataCentres lists the known data centres by name.
 	DataCentres []DataCentreRow `json:",omitempty" cbor:",omitempty"`
+	// StagedAccounts lists the client accounts of staged jobs by name.
+	StagedAccounts []StagedAccountRow `json:",omitempty" cbor:",omitempty"`
 }
 
 // AccountRow describes a client account: its share, limit and current use.
@@ -213,6 +215,26 @@
 	Queues   []QueueRow
 }
 
+// StagedAccountRow describes a client account of staged jobs: one that the deployment lists,
+// that has open jobs, or whose live attempts occupy room.
+type StagedAccountRow struct {
+	// Name is empty for jobs without a known key, which queues that are open to all accept.
+	Name modeller.ClientAccountName
+	// Weight is in jobs a second; it is zero if the deployment does not list the account,
+	// whose jobs then count as within it.
+	Weight int64
+	// Limit bounds Used; a zero component means no limit.
+	Limit modeller.Resources
+	// Used is what the live attempts take, also those of jobs that are over.
+	Used modeller.Resources
+	// Open counts the jobs that are not over, Waiting those of them of which no task was
+	// ever placed, and Excess those that were handed in beyond the weight.
+	Open, Waiting, Excess int
+	// IntakeThousandths is how many thousandths of a job the account may still hand in
+	// within its weight at the time of the reply.
+	IntakeThousandths int64
+}
+
 // QueueRow describes a queue.
 type QueueRow struct {
 	Queue   modeller.Queue
--- a/operatorserver/operatorserver.go
+++ b/operatorserver/operatorserver.go
@@ -257,17 +257,18 @@
 		return responder.Refusal(context, coder.Refuse(coder.BadFilter, "Before must be a job's number"))
 	}
 	request := &messenger.QueryRequest{
-		Accounts:      context.QueryParam("Accounts") != "",
-		Workers:       context.QueryParam("Workers") != "",
-		Jobs:          context.QueryParam("Jobs") != "",
-		Keys:          context.QueryParam("Keys") != "",
-		Members:       context.QueryParam("Members") != "",
-		Templates:     context.QueryParam("Templates") != "",
-		DataCentres:   context.QueryParam("DataCentres") != "",
-		ClientAccount: modeller.ClientAccountName(context.QueryParam("ClientAccount")),
-		Open:          context.QueryParam("Open") != "",
-		Before:        modeller.JobID(before),
-		Most:          maxOverviewJobs,
+		Accounts:       context.QueryParam("Accounts") != "",
+		Workers:        context.QueryParam("Workers") != "",
+		Jobs:           context.QueryParam("Jobs") != "",
+		Keys:           context.QueryParam("Keys") != "",
+		Members:        context.QueryParam("Members") != "",
+		Templates:      context.QueryParam("Templates") != "",
+		DataCentres:    context.QueryParam("DataCentres") != "",
+		StagedAccounts: context.QueryParam("StagedAccounts") != "",
+		ClientAccount:  modeller.ClientAccountName(context.QueryParam("ClientAccount")),
+		Open:           context.QueryParam("Open") != "",
+		Before:         modeller.JobID(before),
+		Most:           maxOverviewJobs,
 	}
 	reply, refusal := server.config.Query(context.Request().Context(), request)
 	if refusal != nil {
