--- a/callerserver/fuzz_test.go
+++ b/callerserver/fuzz_test.go
@@ -30,7 +30,7 @@
 	}).Register(router)
 	f.Fuzz(func(t *testing.T, data []byte) {
 		weigher.Check(t, data, func() {
-			router.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/v1/jobs", bytes.NewReader(data)))
+			router.ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/v1/jobs", bytes.NewReader(data)))
 		})
 	})
 }
--- a/operatorserver/fuzz_test.go
+++ b/operatorserver/fuzz_test.go
@@ -50,7 +50,7 @@
 	}).Register(router)
 	f.Fuzz(func(t *testing.T, route byte, data []byte) {
 		weigher.Check(t, data, func() {
-			request := httptest.NewRequest(http.MethodPost, routes[int(route)%len(routes)], bytes.NewReader(data))
+			request := httptest.NewRequestWithContext(t.Context(), http.MethodPost, routes[int(route)%len(routes)], bytes.NewReader(data))
 			request.Header.Set(echo.HeaderAuthorization, "Bearer "+key)
 			router.ServeHTTP(httptest.NewRecorder(), request)
 		})
--- a/workerserver/fuzz_test.go
+++ b/workerserver/fuzz_test.go
@@ -32,7 +32,7 @@
 	}).Register(router)
 	f.Fuzz(func(t *testing.T, data []byte) {
 		weigher.Check(t, data, func() {
-			router.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, workerserver.HeartbeatPath, bytes.NewReader(data)))
+			router.ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(t.Context(), http.MethodPost, workerserver.HeartbeatPath, bytes.NewReader(data)))
 		})
 	})
 }
