--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -99,11 +99,6 @@
 
 // newConfiguredFleet is newGatedFleet with other settings.
 func newConfiguredFleet(t *testing.T, state *stager.State, holdGate chan struct{}, settings conductor.Settings) *fleet {
-	return newFleetWith(t, state, holdGate, conductor.Settings{Lease: lease, StaleAfter: time.Minute, GangWait: time.Second})
-}
-
-// newFleetWith is newGatedFleet with settings.
-func newFleetWith(t *testing.T, state *stager.State, holdGate chan struct{}, settings conductor.Settings) *fleet {
 	c := qt.New(t)
 	if state == nil {
 		state = stager.New()
--- a/conductor/near_test.go
+++ b/conductor/near_test.go
@@ -19,7 +19,7 @@
 // newRackFleet returns a fleet of worker w1 in rack r1 and w2 in rack r2, of 8 cores each,
 // which also have their names as labels.
 func newRackFleet(t *testing.T, penalty float64) *fleet {
-	fleet := newFleetWith(t, nil, nil, rackSettings(penalty))
+	fleet := newConfiguredFleet(t, nil, nil, rackSettings(penalty))
 	for _, number := range []string{"1", "2"} {
 		fleet.mutex.Lock()
 		fleet.incarnations[modeller.WorkerName("w"+number)] = 1
@@ -129,7 +129,7 @@
 			state, running := first.state.Clone(), maps.Clone(first.running["w1"])
 			first.mutex.Unlock()
 
-			second := newFleetWith(t, state, nil, rackSettings(3))
+			second := newConfiguredFleet(t, state, nil, rackSettings(3))
 			second.mutex.Lock()
 			second.running["w1"] = running
 			// The new leader reaches w1 first: a rack of which no worker was reached is not
