inquirer: long inquiries are not starved, none waits without a process

A process was free for a long inquiry only once it had none in flight. While short ones followed one another, each process always had one, so that a more urgent long inquiry was never sent. It now goes behind one short inquiry, and nothing goes behind it.

Inquiries that waited when the last process detached were not reported as lost, so that their steps kept their room until another process attached. They are reported now, as Ask refuses inquiries without a process too.

Both tests fail before the change; the tests of the package pass.

--- a/inquirer/inquirer.go
+++ b/inquirer/inquirer.go
@@ -48,9 +48,11 @@
 	shortHeadroom = 2
 	// loadWindow is the time over which the load of short inquiries is averaged.
 	loadWindow = time.Second
-	// maxShortInFlight is how many short inquiries one process may have in flight,
-	// which hides the latency of its connection.
-	maxShortInFlight = 2
+	// maxInFlight is how many inquiries one process may have in flight, which hides the
+	// latency of its connection. Only the last of them may be long: short ones do not wait
+	// behind it, and a long one that waited for a process without any would never be sent
+	// while short ones follow one another.
+	maxInFlight = 2
 )
 
 // Config is the configuration of an Inquirer.
@@ -67,7 +69,8 @@
 	processes []*process
 	// waiting is sorted by urgency.
 	waiting []*stager.Inquiry
-	// lost are inquiries of processes that detached.
+	// lost are inquiries of processes that detached, and those that waited when the last one
+	// did: their steps keep room until an answer.
 	lost []stager.InquiryID
 	// shortLoad is the average number of processes that short inquiries keep busy, as of
 	// shortLoadAt.
@@ -127,6 +130,12 @@
 		inquirer.lost = append(inquirer.lost, sentInquiry.inquiry.ID())
 	}
 	inquirer.processes = slices.DeleteFunc(inquirer.processes, func(process *process) bool { return process == detached })
+	if len(inquirer.processes) == 0 {
+		for _, inquiry := range inquirer.waiting {
+			inquirer.lost = append(inquirer.lost, inquiry.ID())
+		}
+		inquirer.waiting = nil
+	}
 	inquirer.dispatch()
 }
 
@@ -262,11 +271,7 @@
 // chooseProcess returns a process for the inquiry, or nil if none is free for
 // it.
 func (inquirer *Inquirer) chooseProcess(inquiry *stager.Inquiry) *process {
-	maxInFlight := 1
 	long := inquiry.Takes >= minLongDuration
-	if !long {
-		maxInFlight = maxShortInFlight
-	}
 	var best *process
 	responsive, withLong := 0, 0
 	for _, process := range inquirer.processes {
--- a/inquirer/inquirer_test.go
+++ b/inquirer/inquirer_test.go
@@ -263,3 +263,46 @@
 	now += 10 * time.Second
 	c.Check(freeForLong(), qt.Equals, 14)
 }
+
+// TestWaitingInquiriesAreLostWithTheLastProcess guards against a step that keeps the room of
+// its question for as long as no process is attached.
+func TestWaitingInquiriesAreLostWithTheLastProcess(t *testing.T) {
+	c := qt.New(t)
+	asker := inquirer.New(inquirer.Config{Clock: func() time.Duration { return 0 }})
+	got, cancel := attach(asker)
+	waitUntilAttached(c, asker)
+	next(c, got)
+	asker.Ask(newInquiry(1, long, 0))
+	next(c, got)
+	asker.Ask(newInquiry(2, long, 0))
+	cancel()
+	lost := make(map[stager.InquiryID]bool)
+	for until := time.Now().Add(2 * time.Second); len(lost) < 2 && time.Now().Before(until); time.Sleep(time.Millisecond) {
+		for _, id := range asker.Lost() {
+			lost[id] = true
+		}
+	}
+	c.Check(lost, qt.DeepEquals, map[stager.InquiryID]bool{inquiryID(1): true, inquiryID(2): true})
+}
+
+// TestLongInquiriesAreNotStarvedByShortOnes guards against a long inquiry that is never sent
+// while less urgent short ones follow one another: a process was free for it only once it
+// had none of them in flight.
+func TestLongInquiriesAreNotStarvedByShortOnes(t *testing.T) {
+	c := qt.New(t)
+	asker := inquirer.New(inquirer.Config{Clock: func() time.Duration { return 0 }})
+	got, cancel := attach(asker)
+	defer cancel()
+	waitUntilAttached(c, asker)
+	next(c, got)
+	asker.Ask(newInquiry(1, short, 1000))
+	for number := 2; number <= 20; number++ {
+		// The long inquiry is the more urgent one, and comes first whenever an answer arrives.
+		if asker.Free(long) {
+			return
+		}
+		asker.Ask(newInquiry(number, short, 1000))
+		asker.Answered(stager.InquiryID{Step: next(c, got)})
+	}
+	c.Fatal("no process was free for a long inquiry")
+}
