allotter: gangs keep no room in vain and do not wait beside room

A gang whose question was answered kept its room while its client account was at its limit, for as long as other work of the account ran, and nothing else used it. It gives the room back now.

Under scarcity a gang waited for the room of its approved workers for up to the validity of its tickets, also where workers that no adviser was asked about had room at once. It asks about them now if their answer is expected before the awaited room.

Both tests fail before the change; the tests of the package pass.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -246,6 +246,7 @@
 // that the step belongs to.
 func (allotter *Allotter) placeOrAsk(step *readyStep, summary *Summary) *int {
 	if !step.minSize().Fits(allotter.config.State.Room(step.job.ClientAccount)) {
+		allotter.releaseAnswered(step)
 		return &summary.AtLimit
 	}
 	defer allotter.preferNear(step)()
@@ -274,6 +275,19 @@
 	return allotter.askAbout(step, approval, append(ticketed, expired...), summary)
 }
 
+// releaseAnswered gives back the room of a step's question that has been answered. A step
+// at its client account's limit would keep it idle for as long as other work of the account
+// runs.
+func (allotter *Allotter) releaseAnswered(step *readyStep) {
+	if step.queue.Advised == nil {
+		return
+	}
+	if approval := allotter.config.Approval(step.id); !approval.Asking {
+		allotter.release(step, approval.PendingPlacement)
+		approval.PendingPlacement = nil
+	}
+}
+
 // askAbout asks an adviser about a step that could not be placed on its approved workers. It
 // returns the counter of the summary that the step belongs to.
 func (allotter *Allotter) askAbout(step *readyStep, approval *Approval, approved []*Candidate, summary *Summary) *int {
--- a/allotter/gang.go
+++ b/allotter/gang.go
@@ -158,7 +158,8 @@
 
 // awaitsTicketedRoom reports whether a gang waits for room that becomes free on workers whose
 // tickets are valid until then, and reserves that room. Asking again about others would
-// keep room idle for the time of an answer.
+// keep room idle for the time of an answer, so it is done only if the gang would probably
+// start sooner by it.
 func (allotter *Allotter) awaitsTicketedRoom(step *readyStep, approval *Approval) bool {
 	if !allotter.scarce {
 		return false
@@ -172,7 +173,7 @@
 		expires = min(expires, approval.Tickets[candidate.Worker.Name].Until)
 	}
 	slots := allotter.earliestSlots(step, ticketed)
-	if slots == nil || slots[len(slots)-1].freeAt >= expires {
+	if slots == nil || slots[len(slots)-1].freeAt >= expires || allotter.startsSoonerElsewhere(step, approval, ticketed, slots[len(slots)-1].freeAt) {
 		return false
 	}
 	allotter.reserve(step, slotWorkers(slots))
@@ -180,6 +181,13 @@
 	return true
 }
 
+// startsSoonerElsewhere reports whether a gang that could start at a time on workers with
+// tickets would probably start sooner if an adviser was asked about unknown workers now.
+func (allotter *Allotter) startsSoonerElsewhere(step *readyStep, approval *Approval, ticketed []*Candidate, startsAt modeller.Millis) bool {
+	return startsAt > allotter.answerAt(step, step.questionWorkers(approval, len(step.tasks))) &&
+		allotter.moreWorkersWouldFit(step, approval, ticketed) && (approval.Asking || allotter.adviserFree(step))
+}
+
 // anyTicketExpires reports whether any of the workers' tickets has expired or
 // will expire by the given time.
 func (allotter *Allotter) anyTicketExpires(approval *Approval, workers []modeller.WorkerName, at modeller.Millis) bool {
