conductor tests: fleets get their settings again

Since a merge newConfiguredFleet dropped the settings that it was given. Admission control was thus off in its tests, of which TestOnlyNewJobsAreRefused, TestEntriesRefuseOnlyBeyondDoubt, TestANewLeaderWaitsForTheNoticeOfThePreviousOne and TestGangsThatNeverFitAreRefusedAtOnce failed. They pass now.

--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -99,7 +99,7 @@
 
 // newConfiguredFleet is newGatedFleet with other settings.
 func newConfiguredFleet(t *testing.T, state *stager.State, holdGate chan struct{}, settings conductor.Settings) *fleet {
-	return newFleetWith(t, state, holdGate, conductor.Settings{Lease: lease, StaleAfter: time.Minute, GangWait: time.Second})
+	return newFleetWith(t, state, holdGate, settings)
 }
 
 // newFleetWith is newGatedFleet with settings.
