conductor: no refusal that is false after a change of leader

A new leader accepted jobs at once if the jobs that wait had been accepted less than 3 s before. A notice of the previous one may rest on such jobs, when they are of other classes than the one that it closes, so that an entry could refuse the retry of a job that the new leader had accepted. It now waits behind any backlog; a new leader with a backlog thus accepts nothing for 850 ms.

A leader that was paused after its lease was checked decided by an old state and answered that a job had not run, though the next leader may have accepted it. Refusals are now returned only while the lease holds after the decision, as it is done for reads.

Both tests fail before the change.

--- a/conductor/notice.go
+++ b/conductor/notice.go
@@ -153,16 +153,14 @@
 }
 
 // acceptsFrom returns from when a new conductor may accept jobs. A notice of the previous
-// one may be in force until then if there is a backlog of about quietSpan: an entry could
-// refuse the retry of a job that this one accepts.
+// one may be in force until then if there is a backlog: an entry could refuse the retry of a
+// job that this one accepts. The backlog may be young, as a notice for one class rests on
+// the jobs of all others too.
 func acceptsFrom(config *Config) time.Duration {
 	if !config.Settings.Admission {
 		return 0
 	}
-	now := config.Now()
-	if !slices.ContainsFunc(config.State.Open(), func(job *stager.Job) bool {
-		return job.Accepted+forecaster.ReturnSpan <= now && hasWaitingTasks(job)
-	}) {
+	if !slices.ContainsFunc(config.State.Open(), hasWaitingTasks) {
 		return 0
 	}
 	return config.Clock() + closedSpan
--- a/conductor/notice_test.go
+++ b/conductor/notice_test.go
@@ -115,3 +115,47 @@
 		next.c.Check(time.Since(began) > forecaster.NoticeValidity, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
 	})
 }
+
+// TestANewLeaderWaitsBehindAYoungBacklog guards against a job that a new leader accepts
+// while an entry still refuses its retry: what a notice rests on may have been accepted just
+// before, in another queue.
+func TestANewLeaderWaitsBehindAYoungBacklog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		t.Cleanup(func() { time.Sleep(time.Minute) })
+		fleet := newRankedFleet(t)
+		fleet.announce("w", 4)
+		time.Sleep(4 * time.Second)
+		for index := range 30 {
+			fleet.submitFirst(fmt.Sprint("first", index), wideStep())
+		}
+		fleet.refuseFor(500 * time.Millisecond)
+		fleet.c.Assert(fleet.noticeCovers(wideStep()), qt.IsTrue)
+		fleet.mutex.Lock()
+		state := fleet.state.Clone()
+		fleet.mutex.Unlock()
+		fleet.c.Assert(state.Apply(&stager.Batch{Term: 2, Now: state.Now, Commands: []stager.Command{{Begin: &stager.Begin{KeepEnded: 100_000}}}}), qt.IsNil)
+		began := time.Now()
+		next := newAdmittingFleet(t, state)
+		for index := range 40 {
+			next.announce(fmt.Sprint("w", index), 4)
+		}
+		next.c.Check(next.offer("new", stager.Schedule{}, wideStep()) == nil, qt.IsTrue)
+		next.c.Check(time.Since(began) > forecaster.NoticeValidity, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
+	})
+}
+
+// TestAReplicaThatMayBeSupersededRefusesNothing guards against the answer that a job has not
+// run from a leader that was paused while the next one accepted the job.
+func TestAReplicaThatMayBeSupersededRefusesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		t.Cleanup(func() { time.Sleep(time.Minute) })
+		fleet := newStarvedFleet(t)
+		fleet.refuseFor(500 * time.Millisecond)
+		fleet.mutex.Lock()
+		fleet.lead = false
+		fleet.mutex.Unlock()
+		refusal := fleet.offer("new", stager.Schedule{}, wideStep())
+		fleet.c.Assert(refusal, qt.IsNotNil)
+		fleet.c.Check(refusal.Code, qt.Equals, coder.NotLeader)
+	})
+}
--- a/conductor/request.go
+++ b/conductor/request.go
@@ -10,7 +10,9 @@
 
 // request runs decide on the owning goroutine and waits until the changes that it made
 // or relied on are committed. decide returns a refusal, or nil: a refusal too may rely on
-// a change that is never committed. A request whose caller has
+// a change that is never committed. A refusal that relied on the state alone is returned
+// only while this replica is certain to lead: one that was paused may decide by a state that
+// lacks what the next leader has accepted. A request whose caller has
 // stopped waiting is dropped: an overloaded leader would otherwise spend its time on
 // answers that nobody receives, and be late with the others too.
 func (conductor *Conductor) request(ctx context.Context, decide func() *coder.Refusal) *coder.Refusal {
@@ -21,8 +23,11 @@
 		}
 		refusal := decide()
 		conductor.afterCommit(func(err error) {
-			if err != nil {
+			switch {
+			case err != nil:
 				refusal = commitRefusal(err)
+			case refusal != nil && !conductor.config.Leads():
+				refusal = coder.Refuse(coder.NotLeader, "this replica may no longer be the leader")
 			}
 			reply <- refusal
 		})
