allotter: a question's room is reserved once for a step with suspects

The tasks of a step that are suspects and the others share an approval. The room kept for a question about the others was reserved for the suspects too, as the whole worker, so that nothing else used it until the answer, and the others found no room on it in the pass after the answer. Suspects outside a gang reserve none of it now.

The test fails before the change; the tests of the package pass.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -238,7 +238,7 @@
 // reservedBefore reports whether room is reserved for a gang whose question is on its way
 // or was answered.
 func (allotter *Allotter) reservedBefore(step *readyStep) bool {
-	return step.queue.Advised != nil && len(allotter.config.Approval(step.id).PendingPlacement) > 0
+	return step.queue.Advised != nil && len(step.pending(allotter.config.Approval(step.id))) > 0
 }
 
 // placeOrAsk places as many of a step's tasks as it can, and asks about workers
@@ -265,7 +265,7 @@
 	if step.spec.Gang && allotter.backsOff(step, approval) {
 		return &summary.NoRoom
 	}
-	allotter.release(step, approval.PendingPlacement)
+	allotter.release(step, step.pending(approval))
 	approval.PendingPlacement = nil
 	ticketed, expired := allotter.approved(step, approval, freeNow)
 	if allotter.place(step, ticketed) == len(step.tasks) {
@@ -283,7 +283,7 @@
 		return
 	}
 	if approval := allotter.config.Approval(step.id); !approval.Asking {
-		allotter.release(step, approval.PendingPlacement)
+		allotter.release(step, step.pending(approval))
 		approval.PendingPlacement = nil
 	}
 }
--- a/allotter/gang.go
+++ b/allotter/gang.go
@@ -15,8 +15,19 @@
 		return
 	}
 	approval := allotter.config.Approval(step.id)
-	step.answered = len(approval.PendingPlacement) > 0 && !approval.Asking
-	allotter.reserve(step, approval.PendingPlacement)
+	pending := step.pending(approval)
+	step.answered = len(pending) > 0 && !approval.Asking
+	allotter.reserve(step, pending)
+}
+
+// pending returns the workers of PendingPlacement that were reserved for these tasks.
+// Suspects outside a gang keep no room for an answer, but share the approval with the other
+// tasks of their step, which may.
+func (step *readyStep) pending(approval *Approval) []modeller.WorkerName {
+	if step.isolated && !step.spec.Gang {
+		return nil
+	}
+	return approval.PendingPlacement
 }
 
 // reserve reserves room for one task of the step for each entry of workers: the room
