allotter: a gang starts beside workers that overrun

A gang whose approved workers ran tasks for longer than expected asked again and again for the tickets of those workers, since their room was always expected before the answer, and never about others that had room. When it asks for such tickets again it now asks about the others too, if it would probably fit them.

The test, with tasks that never end, fails before the change: the gang did not start within 20 s in a trial; it starts after the validity of its tickets and one answer now. The tests of the package pass.

--- a/allotter/gang.go
+++ b/allotter/gang.go
@@ -72,10 +72,11 @@
 // askForGang asks for the tickets of all workers that a gang is to be placed
 // on, also those that are still valid: a gang needs all its tickets at the same
 // time, so none may expire while others are asked for. The room stays reserved
-// until the answer. It always returns true, as the gang waits for an answer.
-func (allotter *Allotter) askForGang(step *readyStep, approval *Approval, workers []modeller.WorkerName) bool {
+// until the answer. Others are workers to be asked about in addition. It always returns
+// true, as the gang waits for an answer.
+func (allotter *Allotter) askForGang(step *readyStep, approval *Approval, workers []modeller.WorkerName, others ...modeller.WorkerName) bool {
 	question := Question{Step: step.id, Urgency: step.urgency, Latest: step.latestStart}
-	for _, name := range workers {
+	for _, name := range slices.Concat(workers, others) {
 		if !slices.Contains(question.Workers, name) {
 			question.Workers = append(question.Workers, name)
 		}
@@ -158,7 +159,7 @@
 		if !allotter.anyTicketExpires(approval, reserved, freeAt) {
 			return false
 		}
-		return allotter.askForGang(step, approval, reserved)
+		return allotter.askForGang(step, approval, reserved, allotter.alternatives(step, approval, approved)...)
 	case approvedSlots < approvedRoomFactor*len(step.tasks) || allotter.moreWorkersWouldFit(step, approval, approved):
 		if unknown := allotter.unknown(step, approval, freeWhenEmpty); len(unknown) > 0 {
 			allotter.config.Ask(Question{Step: step.id, Workers: workerNames(unknown, step.questionWorkers(approval, len(step.tasks))), Urgency: step.urgency, Latest: step.latestStart})
@@ -167,6 +168,16 @@
 	return approval.Asking
 }
 
+// alternatives returns the unknown workers that a gang would probably fit now. It asks about
+// them when it asks again for the tickets of workers that run tasks longer than expected:
+// otherwise it might await their room again and again.
+func (allotter *Allotter) alternatives(step *readyStep, approval *Approval, approved []*Candidate) []modeller.WorkerName {
+	if !allotter.moreWorkersWouldFit(step, approval, approved) {
+		return nil
+	}
+	return workerNames(allotter.unknown(step, approval, freeNow), step.questionWorkers(approval, len(step.tasks)))
+}
+
 // awaitsTicketedRoom reports whether a gang waits for room that becomes free on workers whose
 // tickets are valid until then, and reserves that room. Asking again about others would
 // keep room idle for the time of an answer, so it is done only if the gang would probably
