conductor tests: no data race in the liveness rig

The leader called workers while the rig still added others to its list. The race detector reported it in TestDeadlyTasksAreGivenUpAndSoundOnesAreNot and TestNoJobIsIdleOnceFaultsAreOver; the rig now adds all workers first. No random number is drawn in a different order. With the race detector these tests pass (the first one: gangs and workers_flap).

--- a/conductor/liveness_test.go
+++ b/conductor/liveness_test.go
@@ -126,11 +126,14 @@
 		// All goroutines must have ended when the simulated time ends.
 		time.Sleep(time.Minute)
 	})
-	rig.lead(true)
 	for index := range livenessWorkers {
 		worker := &livenessWorker{rig: rig, name: modeller.WorkerName(fmt.Sprintf("w%02d", index)), rack: modeller.RackName(fmt.Sprint("r", index/8))}
 		worker.begin()
 		rig.workers = append(rig.workers, worker)
+	}
+	// The leader calls workers as soon as they are announced, so that all must be known.
+	rig.lead(true)
+	for _, worker := range rig.workers {
 		go rig.announce(ctx, worker)
 	}
 	for range livenessProcesses {
