--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -256,7 +256,7 @@
 // reservedBefore reports whether room is reserved for a gang whose question is on its way
 // or was answered.
 func (allotter *Allotter) reservedBefore(step *readyStep) bool {
-	return step.queue.Advised != nil && len(allotter.config.Approval(step.id).PendingPlacement) > 0
+	return step.queue.Advised != nil && len(step.pending(allotter.config.Approval(step.id))) > 0
 }
 
 // placeOrAsk places as many of a step's tasks as it can, and asks about workers
@@ -264,6 +264,7 @@
 // that the step belongs to.
 func (allotter *Allotter) placeOrAsk(step *readyStep, summary *Summary) *int {
 	if !step.minSize().Fits(allotter.config.State.Room(step.job.ClientAccount)) {
+		allotter.releaseAnswered(step)
 		return &summary.AtLimit
 	}
 	defer allotter.preferNear(step)()
@@ -282,7 +283,7 @@
 	if step.spec.Gang && allotter.backsOff(step, approval) {
 		return &summary.NoRoom
 	}
-	allotter.release(step, approval.PendingPlacement)
+	allotter.release(step, step.pending(approval))
 	approval.PendingPlacement = nil
 	ticketed, expired := allotter.approved(step, approval, freeNow)
 	if allotter.place(step, ticketed) == len(step.tasks) {
@@ -292,6 +293,19 @@
 	return allotter.askAbout(step, approval, append(ticketed, expired...), summary)
 }
 
+// releaseAnswered gives back the room of a step's question that has been answered. A step
+// at its client account's limit would keep it idle for as long as other work of the account
+// runs.
+func (allotter *Allotter) releaseAnswered(step *readyStep) {
+	if step.queue.Advised == nil {
+		return
+	}
+	if approval := allotter.config.Approval(step.id); !approval.Asking {
+		allotter.release(step, step.pending(approval))
+		approval.PendingPlacement = nil
+	}
+}
+
 // askAbout asks an adviser about a step that could not be placed on its approved workers. It
 // returns the counter of the summary that the step belongs to.
 func (allotter *Allotter) askAbout(step *readyStep, approval *Approval, approved []*Candidate, summary *Summary) *int {
--- a/allotter/order.go
+++ b/allotter/order.go
@@ -88,17 +88,29 @@
 	}
 }
 
-// exceedsRoom reports whether the steps need more than what is free.
+// exceedsRoom reports whether the steps of any pool need more than what is free there. Steps
+// at their account's limit, and those that the whole pool could not hold, do not count: more
+// room would not help them.
 func (allotter *Allotter) exceedsRoom(steps []*readyStep) bool {
-	var needed modeller.Resources
-	for _, step := range steps {
-		needed = needed.Add(step.spec.Demand().Times(int64(len(step.tasks))))
-	}
+	free, capacity := make(map[stager.PoolName]modeller.Resources), make(map[stager.PoolName]modeller.Resources)
 	for index := range allotter.config.Candidates {
 		worker := allotter.config.Candidates[index].Worker
-		allotter.free = allotter.free.Add(worker.Capacity.Sub(worker.Used()))
+		capacity[worker.Pool] = capacity[worker.Pool].Add(worker.Capacity)
+		free[worker.Pool] = free[worker.Pool].Add(worker.Capacity.Sub(worker.Used()))
+	}
+	needed := make(map[stager.PoolName]modeller.Resources)
+	for _, step := range steps {
+		pool := step.queue.Pool
+		if step.minSize().Fits(allotter.config.State.Room(step.job.ClientAccount)) && step.minSize().Fits(capacity[pool]) {
+			needed[pool] = needed[pool].Add(step.spec.Demand().Times(int64(len(step.tasks))))
+		}
+	}
+	exceeds := false
+	for pool, room := range free {
+		allotter.free = allotter.free.Add(room)
+		exceeds = exceeds || !needed[pool].Fits(room)
 	}
-	return !needed.Fits(allotter.free)
+	return exceeds
 }
 
 // Values of readyStep.urgency.
--- a/allotter/scarce_test.go
+++ b/allotter/scarce_test.go
@@ -40,6 +40,21 @@
 	}
 }
 
+// TestWorkThatNoRoomHelpsIsNotScarcity guards against a fleet that counts as full for a step
+// at its account's limit, or for a gang that no fleet of this size holds.
+func TestWorkThatNoRoomHelpsIsNotScarcity(t *testing.T) {
+	fixture := newFixture(t, 2, false)
+	fixture.setRanks()
+	fixture.apply(stager.Command{Submit: &stager.Submit{ID: "limited", ClientAccount: "small", Queue: "draw", Steps: []stager.Step{step(9, 8, 100)}}})
+	wide := step(9, 8, 100)
+	wide.Gang = true
+	fixture.submit("wide", "draw", wide)
+	fixture.submit("patient", "draw", step(1, 8, 100))
+	fixture.submit("urgent", "swap", step(1, 8, 5000))
+	fixture.run()
+	fixture.c.Check(fixture.placed, qt.DeepEquals, []string{"patient", "urgent"})
+}
+
 // TestLateWorkGivesWayToWorkOfALowerRankThatIsOnTime guards against a rank that lets late
 // work make other work late too.
 func TestLateWorkGivesWayToWorkOfALowerRankThatIsOnTime(t *testing.T) {
