allotter: a waiting gang asks about empty workers sooner

Cause: a gang whose approved workers were full asked about others only if the adviser's approval rate times the number of unknown workers with room reached its missing tasks. It counted one task per worker. In a failing run of TestNoJobIsIdleOnceFaultsAreOver/4, draw-9 (2 tasks) had 3 of 13 workers approved, all full, and no question was sent from 19.1 s to 22.7 s. The four workers that were on trial at the first question were never asked about.

Change: the tasks that the unknown workers have room for are counted, and a question is sent if half of the missing tasks are expected to fit.

Measured: the new test fails without the change and passes with it.

--- a/allotter/gang.go
+++ b/allotter/gang.go
@@ -123,6 +123,11 @@
 	// initialApprovalRate is the assumed fraction of workers that an adviser
 	// approves, until there are answers about the step.
 	initialApprovalRate = 0.5
+	// A gang that waits for its approved workers asks about others if these are expected
+	// to hold one in worthwhileSlotsDivisor of its missing tasks. With a divisor of 1, a
+	// gang of two waited for 4 s beside four empty workers that it had not asked about,
+	// since the adviser had approved only 3 of 13 before.
+	worthwhileSlotsDivisor = 2
 )
 
 // prepareGang brings forward the start of a gang that does not fit now: it
@@ -188,22 +193,22 @@
 	})
 }
 
-// moreWorkersWouldFit reports whether a gang would probably fit now if it asked
-// about the unknown workers, given the fraction approved so far.
+// moreWorkersWouldFit reports whether a gang has a fair chance to fit now if it asked about
+// the unknown workers, given the fraction approved so far.
 func (allotter *Allotter) moreWorkersWouldFit(step *readyStep, approval *Approval, approved []*Candidate) bool {
 	missing := len(step.tasks) - len(allotter.assign(step, approved).Tasks)
-	return approval.rate()*float64(allotter.unknownWithRoom(step, approval)) >= float64(missing)
+	return worthwhileSlotsDivisor*approval.rate()*float64(allotter.unknownSlots(step, approval)) >= float64(missing)
 }
 
-// unknownWithRoom counts the unknown workers that have room for one of the step's tasks
-// now. On a full fleet they are few, so they are not ranked.
-func (allotter *Allotter) unknownWithRoom(step *readyStep, approval *Approval) int {
+// unknownSlots counts the step's tasks that the unknown workers have room for now. On a
+// full fleet such workers are few, so they are not ranked.
+func (allotter *Allotter) unknownSlots(step *readyStep, approval *Approval) int {
 	count := 0
 	demand := step.spec.Demand()
 	for index := range allotter.config.Candidates {
 		candidate := &allotter.config.Candidates[index]
 		if demand.Fits(candidate.free) && allotter.eligible(step, candidate.Worker) && approval.unknown(candidate) {
-			count++
+			count += step.slotsIn(candidate.free)
 		}
 	}
 	return count
--- a/allotter/question_test.go
+++ b/allotter/question_test.go
@@ -60,3 +60,30 @@
 		})
 	}
 }
+
+// TestAGangAsksAboutEmptyWorkersWhileTheApprovedOnesAreFull guards against a gang that waits
+// beside empty workers because its adviser approved of few others. The four empty workers
+// were on trial, and so no candidates, when the first question was asked.
+func TestAGangAsksAboutEmptyWorkersWhileTheApprovedOnesAreFull(t *testing.T) {
+	const workers, approved, asked = 17, 3, 13
+	fixture := newFixture(t, workers, true)
+	fixture.submit("old", "swap", step(approved, workerCores, 4000))
+	fixture.endings = make(map[modeller.WorkerName][]allotter.ExpectedRelease)
+	gang := step(2, 2, 3000)
+	gang.Gang = true
+	fixture.submit("gang", "draw", gang)
+	approval := fixture.approval(stager.StepID{Job: "gang"})
+	for index := range asked {
+		name := modeller.WorkerName(fmt.Sprintf("w%02d", index))
+		if index >= approved {
+			approval.Refused[name] = 1
+			continue
+		}
+		fixture.apply(stager.Command{Place: &stager.Place{Step: stager.StepID{Job: "old"}, Tasks: []stager.TaskPlacement{{Index: uint32(index), Attempt: 1, Worker: name, Life: 1}}}})
+		fixture.endings[name] = []allotter.ExpectedRelease{{At: fixture.now + 4000, Size: fixture.state.Workers[name].Capacity}}
+		approval.Tickets[name] = allotter.Ticket{Ticket: "t", Life: 1, Until: fixture.now + 1000}
+	}
+	fixture.run()
+	fixture.c.Assert(fixture.questions, qt.HasLen, 1)
+	fixture.c.Check(fixture.questions[0].Workers, qt.ContentEquals, []modeller.WorkerName{"w13", "w14", "w15", "w16"})
+}
