Wider intake of accounts, and notices at entries only where asked for

A new leader that found a backlog accepted nothing for 850 ms, in case the previous one had told entries to refuse; and a bucket of one second marked ordinary bursts as beyond an account's weight.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -99,6 +99,10 @@
 	// Admission is true if jobs are refused that are certain to finish after their
 	// callers have stopped waiting.
 	Admission bool
+	// AdmissionAtEntries is true if entries refuse by themselves what the forecast refuses
+	// beyond doubt. A new leader with a backlog then accepts nothing until the notices of
+	// the previous one have expired. It takes effect only with Admission.
+	AdmissionAtEntries bool
 	// RemotePenalty is how many times as long tasks run elsewhere than near their data. If
 	// it is at most 1, no step waits for near room.
 	RemotePenalty float64
--- a/conductor/notice.go
+++ b/conductor/notice.go
@@ -78,7 +78,7 @@
 // publishNotice makes the notice for the entries.
 func (conductor *Conductor) publishNotice() {
 	admission := conductor.admission
-	if len(admission.classes) == 0 || conductor.state.Deployment == nil || !conductor.config.Leads() {
+	if !conductor.config.Settings.AdmissionAtEntries || len(admission.classes) == 0 || conductor.state.Deployment == nil || !conductor.config.Leads() {
 		conductor.notice.Store(nil)
 		return
 	}
@@ -157,7 +157,7 @@
 // job that this one accepts. The backlog may be young, as a notice for one class rests on
 // the jobs of all others too.
 func acceptsFrom(config *Config) time.Duration {
-	if !config.Settings.Admission {
+	if !config.Settings.AdmissionAtEntries {
 		return 0
 	}
 	if !slices.ContainsFunc(config.State.Open(), hasWaitingTasks) {
--- a/stager/intake.go
+++ b/stager/intake.go
@@ -2,8 +2,17 @@
 
 import "github.com/dotterelrill/dotterelrill/modeller"
 
+// An account may hand in the jobs of IntakeSeconds at its weight at once, and IntakeSlack
+// jobs more: callers come in bursts of seconds, and a burst of a small account is a large
+// multiple of its weight. These are the window and the slack within which operators judge
+// whether an account keeps to a rate.
+const (
+	IntakeSeconds = 5
+	IntakeSlack   = 20
+)
+
 // Intake is what a client account may still hand in within its weight, which is a number of
-// jobs a second. It fills up to the jobs of one second.
+// jobs a second.
 type Intake struct {
 	_ struct{} `cbor:",toarray"`
 	// Thousandths is how many thousandths of a job were left at At.
@@ -24,12 +33,12 @@
 		return 0
 	}
 	intake, known := state.Intakes[name]
-	full := weight * 1000
+	full := (IntakeSeconds*weight + IntakeSlack) * 1000
 	if !known {
 		return full
 	}
 	if passed := int64(now - intake.At); passed > 0 {
-		return min(full, intake.Thousandths+min(passed, 1000)*weight)
+		return min(full, intake.Thousandths+min(passed, full)*weight)
 	}
 	return intake.Thousandths
 }
