Budgeter: the full listener pauses and goes on, as rationer's did

Cause: TestAFullListenerPausesAndGoesOn went with rationer's listener; its replacement checks silent connections, not that a full listener holds a connection back, goes on without an error, and ends with net.ErrClosed. Change: the same test against budgeter's listener, with forwarded requests as the connections that may not be closed, and an Accept that waits when the listener closes.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -6,6 +6,8 @@
 // wide gangs and long batch steps. Steps that can still finish on time go
 // first, in the order of the times by which they must start; then late steps;
 // then steps so late that their callers are assumed to have stopped waiting.
+// While the waiting steps need more than what is free, those on time go by the
+// rank of their queue first, and jobs beyond their account's weight go last.
 //
 // It neither commits nor enforces anything: package stager checks each
 // placement in full, and the Allotter's owner proposes it and sends the
--- a/budgeter/guard_test.go
+++ b/budgeter/guard_test.go
@@ -209,3 +209,52 @@
 	server.Check(body, qt.Equals, "10")
 	server.Check(server.refused(budgeter.Descriptors), qt.Equals, uint64(16))
 }
+
+// TestAFullListenerPausesAndGoesOn opens one connection more than may be open, while the
+// others wait for forwarded requests. It must not be accepted before another one closes, the
+// listener reports no error meanwhile, and an Accept that waits ends with the listener.
+func TestAFullListenerPausesAndGoesOn(t *testing.T) {
+	c := qt.New(t)
+	inner, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	guard := budgeter.NewGuard(budgeter.GuardConfig{
+		Kind: "test", Bytes: 1 << 20, Connections: 1, Limits: budgeter.DefaultLimits(), Logger: log.NewNopLogger(), Metrics: metrics.NewSet(),
+	})
+	listener := guard.Listener(inner)
+	accepted, ended := make(chan net.Conn), make(chan error, 1)
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				ended <- err
+				return
+			}
+			accepted <- connection
+		}
+	}()
+	for range 4 {
+		dialled, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", inner.Addr().String())
+		c.Assert(err, qt.IsNil)
+		defer func() { _ = dialled.Close() }()
+	}
+	for number := range 3 {
+		connection := <-accepted
+		c.Assert(budgeter.Forward(budgeter.WithConn(t.Context(), connection.(*budgeter.Conn))), qt.IsNil)
+		select {
+		case <-accepted:
+			c.Fatal("a connection was accepted beyond the limit")
+		case err := <-ended:
+			c.Fatalf("the listener has failed: %v", err)
+		case <-time.After(2 * graceOfHeads):
+		}
+		if number < 2 {
+			c.Assert(connection.Close(), qt.IsNil)
+			_ = connection.Close()
+		}
+	}
+	c.Assert(listener.Close(), qt.IsNil)
+	c.Check(<-ended, qt.ErrorIs, net.ErrClosed)
+}
+
+// graceOfHeads is how long a connection without a whole head is kept when others wait.
+const graceOfHeads = 200 * time.Millisecond
