dotterelctl: a refusal by a second entry is not taken for the first

Operators and callers of dotterelctl saw: a command whose first entry received the request and closed the connection was sent to the next entry, whose refusal was printed with [NotRun], although the first may have accepted it.

A refusal that rests on keys or queues of the moment says nothing about them.

Change: the tries of a request remember whether an entry may have received it without an answer. After that, a refusal with NotRun that does not follow from the request's content is returned as Unknown, as relayer and locator do.

--- a/internal/commander/client.go
+++ b/internal/commander/client.go
@@ -12,8 +12,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -133,7 +135,8 @@
 // temporary refusal, whatever its status. If all entries refuse temporarily, it
 // waits as long as they ask for and tries them again, at most for retryTimeout.
 // It returns the last temporary refusal, or the last entry's error, if no entry
-// gave any other response.
+// gave any other response. After a try without a response, a refusal that says nothing
+// about that try is returned as Unknown.
 func (client *client) send(ctx context.Context, method, path string, query url.Values, body any) (*http.Response, error) {
 	if client.setupError != nil {
 		return nil, client.setupError
@@ -142,29 +145,43 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "encode the request")
 	}
+	tries := &tries{client: client, method: method, path: path, query: query, data: data}
 	deadline := time.Now().Add(retryTimeout)
 	for {
-		response, retryAfter, err := client.tryEntries(ctx, method, path, query, data)
+		response, retryAfter, err := tries.tryEntries(ctx)
+		if err != nil {
+			return nil, err
+		}
 		if retryAfter == 0 || time.Now().Add(retryAfter).After(deadline) {
-			return response, err
+			return tries.resolve(response)
 		}
 		select {
 		case <-ctx.Done():
-			return response, err
+			return tries.resolve(response)
 		case <-time.After(retryAfter):
 		}
 	}
 }
 
+// tries are the tries of one request.
+type tries struct {
+	client       *client
+	method, path string
+	query        url.Values
+	data         []byte
+	// unanswered is true once an entry may have received the request and has not answered.
+	unanswered bool
+}
+
 // tryEntries sends the request to each entry until one gives a response that is
 // not a temporary refusal. Otherwise it returns the last entry's response or
 // error, and the shortest delay that a temporary refusal asks for.
-func (client *client) tryEntries(ctx context.Context, method, path string, query url.Values, data []byte) (*http.Response, time.Duration, error) {
+func (tries *tries) tryEntries(ctx context.Context) (*http.Response, time.Duration, error) {
 	var refused *http.Response
 	retryAfter := time.Duration(0)
 	err := eris.New("no entry given; use -entries")
-	for _, entry := range client.entries {
-		response, sendErr := client.sendTo(ctx, entry, method, path, query, data)
+	for _, entry := range tries.client.entries {
+		response, sendErr := tries.sendTo(ctx, entry)
 		if sendErr != nil {
 			err = sendErr
 			continue
@@ -184,36 +201,64 @@
 	return nil, 0, err
 }
 
+// resolve returns the response, or an Unknown refusal if an earlier try may have been
+// accepted in spite of it.
+func (tries *tries) resolve(response *http.Response) (*http.Response, error) {
+	if !tries.unanswered || tries.method == http.MethodGet || response.StatusCode < http.StatusBadRequest {
+		return response, nil
+	}
+	var answer responder.Answer
+	data, err := peekBody(response)
+	if err != nil || json.Unmarshal(data, &answer) != nil || !answer.NotRun || answer.Code.HoldsForEarlierTries() {
+		return response, nil
+	}
+	_ = response.Body.Close()
+	return nil, &refusalError{answer: responder.Answer{
+		Code: coder.Unknown, Name: coder.Unknown.String(),
+		Detail: fmt.Sprintf("a try got no answer, and a later one was refused: %s (%d): %s; retry with the same RequestID", answer.Name, answer.Code, answer.Detail),
+	}}
+}
+
+// peekBody reads a response's body and replaces it by a copy.
+func peekBody(response *http.Response) ([]byte, error) {
+	data, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	response.Body = io.NopCloser(bytes.NewReader(data))
+	return data, err
+}
+
 // temporaryRefusalDelay returns the delay after which to retry a request that an
-// entry refused because it cannot serve now, or zero for any other response. It
-// closes the body of a temporary refusal and replaces it by a copy.
+// entry refused because it cannot serve now, or zero for any other response.
 func temporaryRefusalDelay(response *http.Response) time.Duration {
 	if response.StatusCode != http.StatusServiceUnavailable {
 		return 0
 	}
-	data, err := io.ReadAll(response.Body)
-	_ = response.Body.Close()
-	response.Body = io.NopCloser(bytes.NewReader(data))
 	var answer responder.Answer
+	data, err := peekBody(response)
 	if err != nil || json.Unmarshal(data, &answer) != nil || answer.Code != coder.NotServing {
 		return 0
 	}
 	return time.Duration(answer.RetryAfterMillis) * time.Millisecond
 }
 
-func (client *client) sendTo(ctx context.Context, entry, method, path string, query url.Values, data []byte) (*http.Response, error) {
-	target := url.URL{Scheme: client.scheme, Host: entry, Path: path, RawQuery: query.Encode()}
+func (tries *tries) sendTo(ctx context.Context, entry string) (*http.Response, error) {
+	target := url.URL{Scheme: tries.client.scheme, Host: entry, Path: tries.path, RawQuery: tries.query.Encode()}
 	var reader io.Reader = http.NoBody
-	if method == http.MethodPost {
-		reader = bytes.NewReader(data)
+	if tries.method == http.MethodPost {
+		reader = bytes.NewReader(tries.data)
 	}
-	request, err := http.NewRequestWithContext(ctx, method, target.String(), reader)
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }})
+	request, err := http.NewRequestWithContext(ctx, tries.method, target.String(), reader)
 	if err != nil {
 		return nil, eris.Wrap(err, "create the request")
 	}
-	request.Header.Set("Authorization", "Bearer "+client.key)
+	request.Header.Set("Authorization", "Bearer "+tries.client.key)
 	request.Header.Set("Content-Type", "application/json")
-	response, err := client.http.Do(request)
+	response, err := tries.client.http.Do(request)
+	if err != nil {
+		tries.unanswered = tries.unanswered || sent.Load()
+	}
 	return response, eris.Wrapf(err, "send the request to entry %s", entry)
 }
 
