A worker that is cut off does not count as crashed

Cause: when the lease of a worker that does not answer expires, its attempts that had just begun, or whose start was not answered, were recorded as crashes with weak evidence. Four in a row end the job as failed (stager, deadly). A worker that was cut off looks the same as one that crashed, and nothing took the evidence back when it answered again. From the first such loss on the task also was a suspect, which waits for a worker of its own.

Change: the evidence of such a loss is kept as unsettled, in the log, so that a later leader knows it too. It counts once another incarnation, or another worker at the address, is admitted, and is dropped once the lost incarnation is. Crashes that a call finds out about count at once, as before.

--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -62,10 +62,12 @@
 	percent int
 	// lastProgressAt is when the worker last reported progress.
 	lastProgressAt time.Duration
-	// crash and ranLong are what the loss of the worker tells about the task.
-	crash   stager.Evidence
-	ran     time.Duration
-	ranLong bool
+	// crash and ranLong are what the loss of the worker tells about the task; unsettled is
+	// true if the worker may be cut off rather than crashed.
+	crash     stager.Evidence
+	unsettled bool
+	ran       time.Duration
+	ranLong   bool
 	// trial is how long it has to run until it has shown that its task does not crash its
 	// worker.
 	trial time.Duration
@@ -348,7 +350,7 @@
 	if ending == stager.Succeeding {
 		conductor.observeRunTime(connection, job, ended, &step)
 	}
-	if !conductor.applyOrLog(&stager.Command{End: &stager.End{Task: ended.id, Attempt: ended.number, How: ending, Saved: saved, Crash: ended.crash, Ran: millis(ended.ran), RanLong: ended.ranLong}}, "end an attempt") {
+	if !conductor.applyOrLog(&stager.Command{End: &stager.End{Task: ended.id, Attempt: ended.number, How: ending, Saved: saved, Crash: ended.crash, Unsettled: ended.unsettled, Ran: millis(ended.ran), RanLong: ended.ranLong}}, "end an attempt") {
 		return
 	}
 	conductor.placementPending = true
@@ -356,17 +358,22 @@
 	logger.Info(conductor.config.Logger, "task ended", "Task", ended.id.String(), "Attempt", ended.number, "Worker", connection.name, "How", ending.String(), "Saved", string(saved))
 	conductor.updateFailureStreak(connection, job, ended, ending)
 	switch {
+	case job.Over() && !wasOver:
+		conductor.concludeJob(job)
 	case job.Over():
-		if !wasOver {
-			conductor.instruments.countJobEnd(job)
-			logger.Info(conductor.config.Logger, "job ended", "Job", job.ID, "Status", job.Status().String(), "TookMillis", int64(job.Ended-job.Accepted))
-		}
 		conductor.stopJob(job)
 	case step.Gang && ending != stager.Succeeding:
 		conductor.stopGang(job, ended)
 	}
 }
 
+// concludeJob handles the end of a job.
+func (conductor *Conductor) concludeJob(job *stager.Job) {
+	conductor.instruments.countJobEnd(job)
+	logger.Info(conductor.config.Logger, "job ended", "Job", job.ID, "Status", job.Status().String(), "TookMillis", int64(job.Ended-job.Accepted))
+	conductor.stopJob(job)
+}
+
 // liveAttempt is an attempt and the connection to its worker.
 type liveAttempt struct {
 	connection *connection
--- a/conductor/connection.go
+++ b/conductor/connection.go
@@ -183,11 +183,13 @@
 	}
 	stored := conductor.state.Workers[worker.Name]
 	if stored == nil || workerChanged(stored, &worker) {
+		unsettled := conductor.state.UnsettledBy(&worker)
 		if err := conductor.applyCommand(&stager.Command{Admit: &worker}); err != nil {
 			return toRefusal(coder.StaleIncarnation, err)
 		}
 		logger.Info(conductor.config.Logger, "worker announced", "Worker", worker.Name, "Life", int64(worker.Life), "Pool", worker.Pool,
 			"Rack", worker.Rack, "Leaving", worker.Leaving, "RemainingMillis", int64(announcement.Remaining))
+		conductor.concludeSettled(&worker, unsettled)
 	}
 	if connection == nil {
 		connection = conductor.connect(&worker)
--- a/conductor/crash.go
+++ b/conductor/crash.go
@@ -30,8 +30,8 @@
 const (
 	// departed means that the worker ended as it had announced.
 	departed lossCause = iota
-	// lapsed means that its lease has expired while it did not answer. Whether it has
-	// crashed is not known.
+	// lapsed means that its lease has expired while it did not answer. It may have crashed
+	// or be cut off, which is known once it or another is admitted in its place.
 	lapsed
 	// replaced means that another incarnation or worker is at its address.
 	replaced
@@ -95,9 +95,10 @@
 	for _, attempt := range connection.sortedAttempts() {
 		conductor.assessAttempt(attempt, &lost, cause, strong)
 		lost.explained = lost.explained || attempt.crash == stager.StrongEvidence
+		attempt.unsettled = cause == lapsed
 		if attempt.crash != stager.NoEvidence {
 			logger.Warn(conductor.config.Logger, "worker lost under a task", "Task", attempt.id.String(), "Attempt", attempt.number, "Worker", connection.name,
-				"Evidence", attempt.crash.String(), "RanMillis", attempt.ran.Milliseconds(), "YoungJobs", len(young))
+				"Evidence", attempt.crash.String(), "Unsettled", attempt.unsettled, "RanMillis", attempt.ran.Milliseconds(), "YoungJobs", len(young))
 		}
 	}
 	conductor.losses = append(conductor.losses, lost)
@@ -160,6 +161,20 @@
 	return false
 }
 
+// concludeSettled handles the jobs that were given up because the admission of a worker
+// showed that a lost one had crashed.
+func (conductor *Conductor) concludeSettled(worker *stager.Worker, jobs []*stager.Job) {
+	if len(jobs) == 0 {
+		return
+	}
+	logger.Info(conductor.config.Logger, "lost worker settled", "Worker", worker.Name, "Life", int64(worker.Life), "Address", worker.Address, "Jobs", len(jobs))
+	for _, job := range jobs {
+		if job.Over() {
+			conductor.concludeJob(job)
+		}
+	}
+}
+
 // forgetLosses drops the losses that have been remembered for long enough.
 func (conductor *Conductor) forgetLosses() {
 	kept := conductor.losses[:0]
--- a/conductor/liveness_test.go
+++ b/conductor/liveness_test.go
@@ -86,6 +86,8 @@
 	calmAt    time.Time
 	// deadly is the share of the jobs whose tasks crash the workers that start them.
 	deadly deadlyShare
+	// onRun is called when a run begins on a worker, whose mutex is held; it may be nil.
+	onRun func(*livenessWorker, *conductor.StartOrder)
 	// runs holds what became of the tasks under which workers have crashed.
 	runs map[stager.TaskID]*crashedTask
 }
--- a/conductor/liveness_worker_test.go
+++ b/conductor/liveness_worker_test.go
@@ -182,6 +182,9 @@
 	run := &livenessRun{attempt: order.Attempt, startedAt: time.Now(), runTime: class.runTime, size: class.size()}
 	worker.running[order.Task] = run
 	worker.rig.recordStart(order.Task)
+	if worker.rig.onRun != nil {
+		worker.rig.onRun(worker, order)
+	}
 	switch {
 	case strings.HasSuffix(string(order.Task.Job), livenessDeadly):
 		worker.crashLater(order.Task, worker.rig.deadly.after)
--- a/stager/apply.go
+++ b/stager/apply.go
@@ -220,6 +220,7 @@
 	}
 	state.Workers[worker.Name] = &admitted
 	state.DataCentres.Learn(worker.DataCentre)
+	state.settleLosses(&admitted)
 	return nil
 }
 
--- a/stager/command.go
+++ b/stager/command.go
@@ -134,8 +134,11 @@
 	How     Ending
 	// Saved is the attempt's latest checkpoint, if there is one.
 	Saved Checkpoint `cbor:",omitzero"`
-	// Crash tells how surely the task has crashed the worker.
-	Crash Evidence `cbor:",omitzero"`
+	// Crash tells how surely the task has crashed the worker. If Unsettled is true, the
+	// worker may as well be cut off, and the evidence counts once another incarnation or
+	// worker is admitted in its place.
+	Crash     Evidence `cbor:",omitzero"`
+	Unsettled bool     `cbor:",omitzero"`
 	// Ran is how long the attempt had run when its worker was lost. RanLong is true if
 	// that is far longer than a task takes to crash its worker.
 	Ran     modeller.Millis `cbor:",omitzero"`
--- a/stager/crash.go
+++ b/stager/crash.go
@@ -1,6 +1,12 @@
 package stager
 
-import "github.com/dotterelrill/dotterelrill/modeller"
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/dotterelrill/dotterelrill/modeller"
+)
 
 // Evidence tells how surely a task is the cause of the crash of its worker.
 type Evidence uint8
@@ -46,8 +52,23 @@
 	// minLikelyCrashes is how many crashes in a row soon after the start make a task the
 	// likely cause.
 	minLikelyCrashes = 2
+	// maxUnsettled is how many losses of a task's workers are kept of which it is not known
+	// whether they were crashes.
+	maxUnsettled = 16
 )
 
+// Loss is the loss of a task's worker that may have crashed or be cut off.
+type Loss struct {
+	_      struct{} `cbor:",toarray"`
+	Worker modeller.WorkerName
+	Life   Incarnation
+	// Address is where the worker was, and Ran how long the task had run.
+	Address string
+	Ran     modeller.Millis
+	// Crash is the evidence that the loss is if the worker has crashed.
+	Crash Evidence
+}
+
 // Crashes counts the workers that crashed under a task, one attempt after the other.
 type Crashes struct {
 	// Total counts all crashes, JustBegun those soon after the start, and Proven those with
@@ -59,6 +80,9 @@
 	ProvenAt string
 	// Longest is the longest time that the task had run when a worker crashed under it.
 	Longest modeller.Millis
+	// Unsettled holds the losses that count only if the worker turns out to have crashed.
+	// Copies of a state share it, so it is replaced and never changed.
+	Unsettled []Loss `cbor:",omitempty"`
 }
 
 // suspect reports whether the task may be the cause, so that it should run where a
@@ -126,24 +150,111 @@
 	case !lost:
 		// It was stopped or broken on a worker that is up.
 		crashes.Stopped++
-		job.Crashes[index] = crashes
-		state.giveUpIfDeadly(job, end.Task, &crashes)
-		return
+	case end.Unsettled:
+		task := job.Task(end.Task)
+		crashes.addUnsettled(Loss{Worker: task.Worker, Life: task.Life, Address: address, Ran: end.Ran, Crash: end.Crash})
+	default:
+		crashes.count(&Loss{Address: address, Ran: end.Ran, Crash: end.Crash})
 	}
+	if job.Crashes == nil {
+		job.Crashes = make(map[uint32]Crashes)
+	}
+	job.Crashes[index] = crashes
+	state.crashedJobs[job.ID] = struct{}{}
+	state.giveUpIfDeadly(job, end.Task, &crashes)
+}
+
+// count counts a crash.
+func (crashes *Crashes) count(crash *Loss) {
 	crashes.Total++
-	crashes.Longest = max(crashes.Longest, end.Ran)
-	if end.Crash >= WeakEvidence {
+	crashes.Longest = max(crashes.Longest, crash.Ran)
+	if crash.Crash >= WeakEvidence {
 		crashes.JustBegun++
 	}
-	if end.Crash == StrongEvidence && (crashes.Proven == 0 || crashes.ProvenAt != address) {
+	if crash.Crash == StrongEvidence && (crashes.Proven == 0 || crashes.ProvenAt != crash.Address) {
 		crashes.Proven++
-		crashes.ProvenAt = address
+		crashes.ProvenAt = crash.Address
 	}
-	if job.Crashes == nil {
-		job.Crashes = make(map[uint32]Crashes)
+}
+
+// addUnsettled adds a loss of which it is not known whether it was a crash. The oldest is
+// dropped if there are too many.
+func (crashes *Crashes) addUnsettled(loss Loss) {
+	kept := crashes.Unsettled[max(0, len(crashes.Unsettled)-maxUnsettled+1):]
+	crashes.Unsettled = append(slices.Clip(kept), loss)
+}
+
+// settledBy reports whether the admission of a worker tells what became of the lost one:
+// whether it has crashed, or is back.
+func (loss *Loss) settledBy(worker *Worker) (settled, crashed bool) {
+	switch {
+	case loss.Worker == worker.Name:
+		return worker.Life >= loss.Life, worker.Life > loss.Life
+	case loss.Address == worker.Address && loss.Address != "":
+		// A delayed announcement may be of a worker that was there before the lost one.
+		return worker.Life >= loss.Life, true
 	}
-	job.Crashes[index] = crashes
-	state.giveUpIfDeadly(job, end.Task, &crashes)
+	return false, false
+}
+
+// UnsettledBy returns the open jobs with tasks that may have crashed a worker of which the
+// admission of another tells whether it has crashed, in the order of their IDs.
+func (state *State) UnsettledBy(worker *Worker) []*Job {
+	var jobs []*Job
+	for id := range state.crashedJobs {
+		if job := state.Jobs[id]; job != nil && job.unsettledBy(worker) {
+			jobs = append(jobs, job)
+		}
+	}
+	slices.SortFunc(jobs, func(left, right *Job) int { return cmp.Compare(left.ID, right.ID) })
+	return jobs
+}
+
+func (job *Job) unsettledBy(worker *Worker) bool {
+	for _, crashes := range job.Crashes {
+		for at := range crashes.Unsettled {
+			if settled, _ := crashes.Unsettled[at].settledBy(worker); settled {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// settleLosses counts the losses as crashes of which the admission of a worker tells that
+// they were, and drops those of which it tells that they were not.
+func (state *State) settleLosses(worker *Worker) {
+	for _, job := range state.UnsettledBy(worker) {
+		for _, index := range slices.Sorted(maps.Keys(job.Crashes)) {
+			crashes := job.Crashes[index]
+			crashes.settle(worker)
+			job.Crashes[index] = crashes
+			if crashes.Total == 0 && len(crashes.Unsettled) == 0 {
+				delete(job.Crashes, index)
+			}
+			state.giveUpIfDeadly(job, job.TaskAt(index), &crashes)
+			if job.Over() {
+				break
+			}
+		}
+	}
+	maps.DeleteFunc(state.crashedJobs, func(id JobID, _ struct{}) bool {
+		job := state.Jobs[id]
+		return job == nil || len(job.Crashes) == 0
+	})
+}
+
+func (crashes *Crashes) settle(worker *Worker) {
+	var kept []Loss
+	for at := range crashes.Unsettled {
+		switch settled, crashed := crashes.Unsettled[at].settledBy(worker); {
+		case !settled:
+			kept = append(kept, crashes.Unsettled[at])
+		case crashed:
+			crashes.count(&crashes.Unsettled[at])
+		}
+	}
+	crashes.Unsettled = kept
 }
 
 func (state *State) giveUpIfDeadly(job *Job, task TaskID, crashes *Crashes) {
--- a/stager/state.go
+++ b/stager/state.go
@@ -37,6 +37,8 @@
 
 	usages   map[modeller.ClientAccountName]*accountUsage
 	openJobs []*Job
+	// crashedJobs holds the jobs that may have Crashes.
+	crashedJobs map[JobID]struct{}
 	// pendingJobs counts, by queue, the accepted jobs of which no task has been
 	// placed.
 	pendingJobs map[modeller.QueueName]int
@@ -91,6 +93,7 @@
 	state.makeMaps()
 	state.usages = make(map[modeller.ClientAccountName]*accountUsage)
 	state.pendingJobs = make(map[modeller.QueueName]int)
+	state.crashedJobs = make(map[JobID]struct{})
 	state.openJobs = nil
 	state.loadLimits()
 	for _, name := range slices.Sorted(maps.Keys(state.Workers)) {
@@ -103,6 +106,9 @@
 	for _, job := range state.Jobs {
 		job.rebuildIndex()
 		state.recountUsage(job)
+		if len(job.Crashes) > 0 {
+			state.crashedJobs[job.ID] = struct{}{}
+		}
 		if !job.Over() {
 			state.openJobs = append(state.openJobs, job)
 			if !job.Started {
