Jobs that have not begun are pending, though their tasks are placed

Cause: the state counted a job as begun with its first placement and never took that back, though a start may be rejected, or lost with its worker.

Change: an end tells whether its attempt had begun; a job of which none has, and none is placed, is pending again. The leader counts the jobs that are placed and of which no worker has acknowledged a start or listed a run, and adds them to what it answers. A new leader counts all that it has not heard of.

--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -230,6 +230,7 @@
 			attempt.state = running
 		}
 		attempt.startAcknowledgedAt, attempt.lastProgressAt = now, now
+		conductor.unbegun.remove(attempt.id.Job)
 		if attempt.placedAt != 0 {
 			conductor.instruments.start.Update((now - attempt.placedAt).Seconds())
 		}
@@ -350,9 +351,10 @@
 	if ending == stager.Succeeding {
 		conductor.observeRunTime(connection, job, ended, &step)
 	}
-	if !conductor.applyOrLog(&stager.Command{End: &stager.End{Task: ended.id, Attempt: ended.number, How: ending, Saved: saved, Crash: ended.crash, Unsettled: ended.unsettled, Ran: millis(ended.ran), RanLong: ended.ranLong}}, "end an attempt") {
+	if !conductor.applyOrLog(&stager.Command{End: &stager.End{Task: ended.id, Attempt: ended.number, How: ending, Saved: saved, Crash: ended.crash, Unsettled: ended.unsettled, Ran: millis(ended.ran), RanLong: ended.ranLong, Unbegun: ended.unbegun(ending)}}, "end an attempt") {
 		return
 	}
+	conductor.recordBegun(job, ended.unbegun(ending))
 	conductor.placementPending = true
 	conductor.instruments.countEnd(ending, ended.runDuration(conductor.config.Clock()))
 	logger.Info(conductor.config.Logger, "task ended", "Task", ended.id.String(), "Attempt", ended.number, "Worker", connection.name, "How", ending.String(), "Saved", string(saved))
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -168,6 +168,7 @@
 	evacuations         map[modeller.DataCentreName]bool
 	moves               map[stager.TaskID]move
 	nextEvacuationLogAt time.Duration
+	unbegun             *unbegunJobs
 	// placementPending is true if a placement pass may find something to place.
 	placementPending bool
 }
@@ -200,6 +201,7 @@
 		moves:         make(map[stager.TaskID]move),
 		instruments:   newInstruments(config.Metrics),
 		admission:     newAdmission(),
+		unbegun:       newUnbegunJobs(),
 		acceptsAt:     acceptsFrom(&config),
 	}
 	if penalty := config.Settings.RemotePenalty; penalty > 1 {
--- a/conductor/connection.go
+++ b/conductor/connection.go
@@ -113,6 +113,9 @@
 			task := job.Task(id)
 			attempt := &attempt{id: id, number: task.Attempt, ticket: task.Ticket, state: sent, startUnconfirmed: true, awaitingReport: true, resumed: true, stopping: job.Over(), trial: probation}
 			connection.attempts[id] = attempt
+			if !job.Ran && !job.Over() {
+				conductor.unbegun.add(job)
+			}
 		}
 		conductor.ensureHold(connection)
 	}
--- a/conductor/crash.go
+++ b/conductor/crash.go
@@ -170,6 +170,7 @@
 	logger.Info(conductor.config.Logger, "lost worker settled", "Worker", worker.Name, "Life", int64(worker.Life), "Address", worker.Address, "Jobs", len(jobs))
 	for _, job := range jobs {
 		if job.Over() {
+			conductor.unbegun.remove(job.ID)
 			conductor.concludeJob(job)
 		}
 	}
--- a/conductor/hold.go
+++ b/conductor/hold.go
@@ -224,6 +224,7 @@
 		listed[reported.Task] = true
 		if attempt.state != running {
 			attempt.state, attempt.startAcknowledgedAt, attempt.lastProgressAt = running, now, now
+			conductor.unbegun.remove(attempt.id.Job)
 		}
 		if reported.Percent != attempt.percent {
 			attempt.percent, attempt.lastProgressAt = reported.Percent, now
--- a/conductor/plan.go
+++ b/conductor/plan.go
@@ -36,6 +36,7 @@
 			}
 			conductor.instruments.tasksPlaced.Add(len(place.Tasks))
 			if firstPlacement {
+				conductor.unbegun.add(job)
 				conductor.instruments.wait.Update(float64(conductor.state.Now-job.Accepted) / 1000)
 			}
 			conductor.noteStarted(job, place)
--- a/conductor/request.go
+++ b/conductor/request.go
@@ -109,6 +109,7 @@
 		if err := conductor.applyCommand(&stager.Command{Cancel: &stager.Cancel{Job: id}}); err != nil {
 			return toRefusal(coder.UnknownJob, err)
 		}
+		conductor.unbegun.remove(id)
 		conductor.stopJob(job)
 		logger.Info(conductor.config.Logger, "job cancelled", "Job", id, "Status", job.Status().String(), "Live", live)
 		return nil
--- a/internal/cellrunner/stagedservice.go
+++ b/internal/cellrunner/stagedservice.go
@@ -60,6 +60,10 @@
 }
 
 func (runner *Runner) stagedJob(ctx context.Context, request *messenger.StagedJobRequest) (*messenger.StagedReply, error) {
+	conductor, refusal := runner.requireConductor(request.Cell)
+	if refusal != nil {
+		return stagedReply(refusal)
+	}
 	answer := &messenger.StagedReply{}
 	var id stager.JobID
 	answer.Refusal = runner.readStaged(request.Cell, func(state *stager.State) *coder.Refusal {
@@ -69,7 +73,7 @@
 		}
 		id = stager.JobID(strings.TrimPrefix(request.Place.Path, queue.Prefix))
 		if id == "" && request.Question == messenger.JobStatus {
-			answer.Pending = state.Pending(queue.Name)
+			answer.Pending = state.Pending(queue.Name) + conductor.Unbegun(queue.Name)
 			return nil
 		}
 		if job := state.Jobs[id]; job != nil {
@@ -79,10 +83,6 @@
 		return coder.Refuse(coder.UnknownJob, "no job %s", id)
 	})
 	if answer.Refusal == nil && request.Question == messenger.JobCancel {
-		conductor, refusal := runner.requireConductor(request.Cell)
-		if refusal != nil {
-			return stagedReply(refusal)
-		}
 		return stagedReply(conductor.Cancel(ctx, id))
 	}
 	return answer, nil
--- a/stager/command.go
+++ b/stager/command.go
@@ -143,6 +143,8 @@
 	// that is far longer than a task takes to crash its worker.
 	Ran     modeller.Millis `cbor:",omitzero"`
 	RanLong bool            `cbor:",omitzero"`
+	// Unbegun is true if its worker has not shown that the attempt began.
+	Unbegun bool `cbor:",omitzero"`
 }
 
 // Wave is a maintenance wave over VMs with a limit on how many are down at
--- a/stager/place.go
+++ b/stager/place.go
@@ -150,6 +150,7 @@
 	task.Live = false
 	state.saveCheckpoint(job, end)
 	state.countCrash(job, end, address)
+	state.revokeStart(job, end)
 	switch end.How {
 	case Succeeding:
 		state.succeed(job, end)
@@ -163,6 +164,16 @@
 	return nil
 }
 
+// revokeStart makes a job pending again if none of its tasks is placed any more and none
+// has begun.
+func (state *State) revokeStart(job *Job, end *End) {
+	job.Ran = job.Ran || !end.Unbegun
+	if job.Started && !job.Ran && job.liveAttempts == 0 && !job.Over() {
+		job.Started = false
+		state.pendingJobs[job.Queue]++
+	}
+}
+
 func (state *State) saveCheckpoint(job *Job, end *End) {
 	if end.Saved == "" {
 		return
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -196,8 +196,10 @@
 	Tasks []Task
 	// Crashes holds the suspects among the tasks, by their index in Tasks.
 	Crashes map[uint32]Crashes `cbor:",omitempty"`
-	// Started is true once a task has been placed.
+	// Started is true while a task is placed, and once one has begun. Ran is true once an
+	// attempt has ended that had begun.
 	Started   bool
+	Ran       bool `cbor:",omitzero"`
 	Cancelled bool
 	Failed    bool
 	// Ended is when the job was completed, failed or cancelled; zero before
--- a/stager/state.go
+++ b/stager/state.go
@@ -39,8 +39,7 @@
 	openJobs []*Job
 	// crashedJobs holds the jobs that may have Crashes.
 	crashedJobs map[JobID]struct{}
-	// pendingJobs counts, by queue, the accepted jobs of which no task has been
-	// placed.
+	// pendingJobs counts, by queue, the open jobs that are not Started.
 	pendingJobs map[modeller.QueueName]int
 }
 
@@ -216,8 +215,8 @@
 // accepted. The slice belongs to the state.
 func (state *State) Open() []*Job { return state.openJobs }
 
-// Pending returns how many of a queue's jobs are waiting for their first
-// placement.
+// Pending returns how many of a queue's open jobs have no task that is placed or has
+// begun.
 func (state *State) Pending(queue modeller.QueueName) int { return state.pendingJobs[queue] }
 
 // Used returns the resources of a client account's live attempts.
