A job that is over is not settled again, and begun jobs are recorded in one place

UnsettledBy named jobs that had been cancelled and still had attempts, so that their end would be counted and logged twice once a lost worker of theirs was settled.

Change: only open jobs are settled. concludeJob forgets that a job has not begun, in place of its callers; the End of an attempt is built once.

--- a/conductor/attempt.go
+++ b/conductor/attempt.go
@@ -351,10 +351,14 @@
 	if ending == stager.Succeeding {
 		conductor.observeRunTime(connection, job, ended, &step)
 	}
-	if !conductor.applyOrLog(&stager.Command{End: &stager.End{Task: ended.id, Attempt: ended.number, How: ending, Saved: saved, Crash: ended.crash, Unsettled: ended.unsettled, Ran: millis(ended.ran), RanLong: ended.ranLong, Unbegun: ended.unbegun(ending)}}, "end an attempt") {
+	end := &stager.End{
+		Task: ended.id, Attempt: ended.number, How: ending, Saved: saved, Unbegun: ended.unbegun(ending),
+		Crash: ended.crash, Unsettled: ended.unsettled, Ran: millis(ended.ran), RanLong: ended.ranLong,
+	}
+	if !conductor.applyOrLog(&stager.Command{End: end}, "end an attempt") {
 		return
 	}
-	conductor.recordBegun(job, ended.unbegun(ending))
+	conductor.recordBegun(job, end)
 	conductor.placementPending = true
 	conductor.instruments.countEnd(ending, ended.runDuration(conductor.config.Clock()))
 	logger.Info(conductor.config.Logger, "task ended", "Task", ended.id.String(), "Attempt", ended.number, "Worker", connection.name, "How", ending.String(), "Saved", string(saved))
@@ -371,6 +375,7 @@
 
 // concludeJob handles the end of a job.
 func (conductor *Conductor) concludeJob(job *stager.Job) {
+	conductor.unbegun.remove(job.ID)
 	conductor.instruments.countJobEnd(job)
 	logger.Info(conductor.config.Logger, "job ended", "Job", job.ID, "Status", job.Status().String(), "TookMillis", int64(job.Ended-job.Accepted))
 	conductor.stopJob(job)
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -168,7 +168,8 @@
 	evacuations         map[modeller.DataCentreName]bool
 	moves               map[stager.TaskID]move
 	nextEvacuationLogAt time.Duration
-	unbegun             *unbegunJobs
+	// unbegun holds the jobs that the state counts as begun and that may not have.
+	unbegun *unbegunJobs
 	// placementPending is true if a placement pass may find something to place.
 	placementPending bool
 }
--- a/conductor/crash.go
+++ b/conductor/crash.go
@@ -161,8 +161,8 @@
 	return false
 }
 
-// concludeSettled handles the jobs that were given up because the admission of a worker
-// showed that a lost one had crashed.
+// concludeSettled concludes those of the jobs that were given up when the admission of a
+// worker settled their losses.
 func (conductor *Conductor) concludeSettled(worker *stager.Worker, jobs []*stager.Job) {
 	if len(jobs) == 0 {
 		return
@@ -170,7 +170,6 @@
 	logger.Info(conductor.config.Logger, "lost worker settled", "Worker", worker.Name, "Life", int64(worker.Life), "Address", worker.Address, "Jobs", len(jobs))
 	for _, job := range jobs {
 		if job.Over() {
-			conductor.unbegun.remove(job.ID)
 			conductor.concludeJob(job)
 		}
 	}
--- a/conductor/pending.go
+++ b/conductor/pending.go
@@ -1,7 +1,6 @@
 package conductor
 
 import (
-	"maps"
 	"sync"
 
 	"github.com/dotterelrill/dotterelrill/modeller"
@@ -35,8 +34,10 @@
 	if queue, added := unbegunJobs.queues[id]; added {
 		delete(unbegunJobs.queues, id)
 		unbegunJobs.counts[queue]--
+		if unbegunJobs.counts[queue] == 0 {
+			delete(unbegunJobs.counts, queue)
+		}
 	}
-	maps.DeleteFunc(unbegunJobs.counts, func(_ modeller.QueueName, count int) bool { return count == 0 })
 }
 
 func (unbegunJobs *unbegunJobs) count(queue modeller.QueueName) int {
@@ -56,10 +57,10 @@
 	return attempt.startAcknowledgedAt == 0 && (ending == stager.Refusing || ending == stager.Losing)
 }
 
-// recordBegun records the end of an attempt as far as it tells whether its job has begun.
-func (conductor *Conductor) recordBegun(job *stager.Job, unbegun bool) {
+// recordBegun records what the end of an attempt tells about whether its job has begun.
+func (conductor *Conductor) recordBegun(job *stager.Job, end *stager.End) {
 	switch {
-	case !unbegun || job.Over():
+	case !end.Unbegun:
 		conductor.unbegun.remove(job.ID)
 	case !job.Started:
 		// Until this is committed, the state that callers are shown does not count the
--- a/stager/crash.go
+++ b/stager/crash.go
@@ -197,12 +197,12 @@
 	return false, false
 }
 
-// UnsettledBy returns the open jobs with tasks that may have crashed a worker of which the
-// admission of another tells whether it has crashed, in the order of their IDs.
+// UnsettledBy returns the open jobs with losses that the admission of a worker settles, in
+// the order of their IDs.
 func (state *State) UnsettledBy(worker *Worker) []*Job {
 	var jobs []*Job
 	for id := range state.crashedJobs {
-		if job := state.Jobs[id]; job != nil && job.unsettledBy(worker) {
+		if job := state.Jobs[id]; job != nil && !job.Over() && job.unsettledBy(worker) {
 			jobs = append(jobs, job)
 		}
 	}
@@ -221,8 +221,8 @@
 	return false
 }
 
-// settleLosses counts the losses as crashes of which the admission of a worker tells that
-// they were, and drops those of which it tells that they were not.
+// settleLosses counts the losses that the admission of a worker shows to be crashes, and
+// drops those that it shows to be none.
 func (state *State) settleLosses(worker *Worker) {
 	for _, job := range state.UnsettledBy(worker) {
 		for _, index := range slices.Sorted(maps.Keys(job.Crashes)) {
@@ -240,7 +240,7 @@
 	}
 	maps.DeleteFunc(state.crashedJobs, func(id JobID, _ struct{}) bool {
 		job := state.Jobs[id]
-		return job == nil || len(job.Crashes) == 0
+		return job == nil || job.Over() || len(job.Crashes) == 0
 	})
 }
 
--- a/stager/crash_test.go
+++ b/stager/crash_test.go
@@ -84,6 +84,20 @@
 	}
 }
 
+// TestAJobThatIsOverIsNotSettled guards against a job that ends twice: once when it is
+// cancelled and again when a worker that it had crashed comes back.
+func TestAJobThatIsOverIsNotSettled(t *testing.T) {
+	c := qt.New(t)
+	state := newState(c, 2)
+	mustApply(c, state, submitCommand("j", step(2, 1)), placeCommand("j", 0, placedOn(0, 1, "w0"), placedOn(1, 1, "w1")))
+	lost := endCommand("j", 0, 0, 1, stager.Losing)
+	lost.End.Crash, lost.End.Unsettled = stager.WeakEvidence, true
+	mustApply(c, state, lost, stager.Command{Drop: &stager.Drop{Worker: "w0", Life: 1}}, stager.Command{Cancel: &stager.Cancel{Job: "j"}})
+	c.Check(state.UnsettledBy(worker(0, 2)), qt.HasLen, 0)
+	mustApply(c, state, stager.Command{Admit: worker(0, 2)})
+	c.Check(state.Jobs["j"].Status(), qt.Equals, stager.Cancelled)
+}
+
 // TestALateAnnouncementSettlesNoLoss guards against the announcement of a worker that was at
 // an address before the lost one.
 func TestALateAnnouncementSettlesNoLoss(t *testing.T) {
