--- a/review/platform/rigger/restarting.go
+++ b/review/platform/rigger/restarting.go
@@ -14,14 +14,14 @@
 	secondCrashWait = 1300 * time.Millisecond
 )
 
-// runRestartingWorkers crashes two of sixteen workers, one 1.3 s after the other, for 1.5 s
+// runRestartingWorkers crashes two of 48 workers, one 1.3 s after the other, for 1.5 s
 // each, and submits a job right after the first crash. No worker ever begins the job's task
 // before it crashes, so that the job may not be shown as failed.
 func runRestartingWorkers(ctx context.Context, rig *rig, trouble bool) ([]string, error) {
 	if err := rig.configure(ctx); err != nil {
 		return nil, err
 	}
-	if err := rig.addWorkers(ctx, 16); err != nil {
+	if err := rig.addWorkers(ctx, 48); err != nil {
 		return nil, err
 	}
 	if err := rig.warmUp(ctx); err != nil {
