--- a/coder/code.go
+++ b/coder/code.go
@@ -62,12 +62,13 @@
 
 // Codes of conflicts with the current state.
 const (
-	RevisionConflict Code = 300
-	StaleAttempt     Code = 301
-	StaleIncarnation Code = 302
-	WrongState       Code = 303
-	AlreadyDone      Code = 304
-	MemberConflict   Code = 305
+	RevisionConflict   Code = 300
+	StaleAttempt       Code = 301
+	StaleIncarnation   Code = 302
+	WrongState         Code = 303
+	AlreadyDone        Code = 304
+	MemberConflict     Code = 305
+	IncarnationUnnamed Code = 306
 )
 
 // Codes of exceeded limits and missing capacity.
@@ -158,6 +159,7 @@
 	{WrongState, "WrongState", http.StatusConflict, false, false, false, "The job, task or worker is not in a state that allows this."},
 	{AlreadyDone, "AlreadyDone", http.StatusConflict, false, false, false, "The job already has its outcome."},
 	{MemberConflict, "MemberConflict", http.StatusConflict, false, true, false, "Another membership change is in progress."},
+	{IncarnationUnnamed, "IncarnationUnnamed", http.StatusTemporaryRedirect, false, false, false, "The end of a worker that runs tasks does not name its incarnation; the answer gives the one to name."},
 
 	{NoCapacity, "NoCapacity", http.StatusConflict, false, true, false, "The worker's processors, memory or accelerators would be over-committed."},
 	{NoSlots, "NoSlots", http.StatusConflict, false, true, false, "The worker has no free slot."},
@@ -247,6 +249,9 @@
 	// Leader is the address of the leader if Code is NotLeader and the leader is
 	// known, otherwise empty.
 	Leader string
+	// Incarnation is the worker's incarnation if Code is IncarnationUnnamed, otherwise
+	// zero.
+	Incarnation int64 `json:",omitzero" cbor:",omitzero"`
 }
 
 // Refuse returns a Refusal whose Detail is formatted as by fmt.Sprintf.
--- a/conductor/liveness_worker_test.go
+++ b/conductor/liveness_worker_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/dotterelrill/dotterelrill/coder"
 	"github.com/dotterelrill/dotterelrill/conductor"
 	"github.com/dotterelrill/dotterelrill/modeller"
 	"github.com/dotterelrill/dotterelrill/stager"
@@ -65,7 +66,8 @@
 	worker.changed = make(chan struct{})
 }
 
-// leave ends the incarnation and announces that. The mutex must be held.
+// leave ends the incarnation and announces that, and names it if it is asked to. The mutex
+// must be held.
 func (worker *livenessWorker) leave() {
 	if !worker.up {
 		return
@@ -73,9 +75,15 @@
 	worker.crash()
 	announcement := stager.Announcement{Worker: stager.Worker{Name: worker.name}, Gone: true}
 	go func() {
-		if leader := worker.rig.currentLeader(); leader != nil {
-			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-			defer cancel()
+		leader := worker.rig.currentLeader()
+		if leader == nil {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		refusals, _ := leader.conductor.AnnounceAll(ctx, []stager.Announcement{announcement})
+		if len(refusals) == 1 && refusals[0] != nil && refusals[0].Code == coder.IncarnationUnnamed {
+			announcement.Worker.Life = stager.Incarnation(refusals[0].Incarnation)
 			_, _ = leader.conductor.AnnounceAll(ctx, []stager.Announcement{announcement})
 		}
 	}()
--- a/conductor/request.go
+++ b/conductor/request.go
@@ -155,7 +155,7 @@
 	refusal := conductor.request(ctx, func() *coder.Refusal {
 		for at := range announcements {
 			if announcements[at].Gone {
-				conductor.depart(&announcements[at])
+				refusals[at] = conductor.depart(&announcements[at])
 			} else {
 				refusals[at] = conductor.handleAnnouncement(&announcements[at])
 			}
@@ -168,22 +168,33 @@
 	return refusals, nil
 }
 
-// depart handles the announcement that a worker has ended. It names no incarnation
-// where the platform's does not, and may have been delayed until a later incarnation
-// has begun under the same name. Unless this one has announced that it is leaving,
-// the announcement is ignored, and the worker's lease decides about what it runs.
-func (conductor *Conductor) depart(announcement *stager.Announcement) {
+// depart handles the announcement that a worker has ended. It may have been delayed until a
+// later incarnation has begun under the same name, so one that names no incarnation proves
+// nothing about the present one, even if that has announced that it is leaving and does not
+// answer. If the worker has work, its sender is told the incarnation to name: a sender that
+// sends it again has learned the name, so neither it nor an earlier incarnation runs on.
+// Otherwise the worker's lease decides.
+func (conductor *Conductor) depart(announcement *stager.Announcement) *coder.Refusal {
 	connection := conductor.connections[announcement.Worker.Name]
-	if connection == nil || announcement.Worker.Life != 0 && announcement.Worker.Life != connection.incarnation {
-		return
+	if connection == nil {
+		return nil
 	}
-	worker := conductor.state.Workers[connection.name]
-	if len(connection.attempts) > 0 && announcement.Worker.Life == 0 && (worker == nil || !worker.Leaving) {
-		logger.Warn(conductor.config.Logger, "end of a worker ignored that did not announce to leave", "Worker", connection.name,
-			"Life", int64(connection.incarnation), "Live", len(connection.attempts))
-		return
+	named, current := announcement.Worker.Life, connection.target().Life
+	if named == 0 && len(connection.attempts) > 0 {
+		logger.Info(conductor.config.Logger, "end of a worker names no incarnation", "Worker", connection.name,
+			"Life", int64(current), "Live", len(connection.attempts))
+		if current == 0 {
+			return nil
+		}
+		refusal := coder.Refuse(coder.IncarnationUnnamed, "the worker runs tasks; its end has to name incarnation %d", current)
+		refusal.Incarnation = int64(current)
+		return refusal
+	}
+	if named != 0 && named != current {
+		return nil
 	}
 	conductor.dropIncarnation(connection, departed, "the worker has ended")
+	return nil
 }
 
 // Advise handles an adviser's answer. It does not wait.
--- a/conductor/takeover_test.go
+++ b/conductor/takeover_test.go
@@ -60,7 +60,7 @@
 	fleet.announceIncarnation("w", 4, 2)
 	fleet.submit("j", singleCoreStep(1))
 	fleet.await("the start", func() bool { return len(fleet.running["w"]) == 1 })
-	fleet.announceWorker(t.Context(), &stager.Announcement{Worker: stager.Worker{Name: "w"}, Gone: true})
+	fleet.mustAskForSecond(t)
 	fleet.mutex.Lock()
 	c.Check(fleet.state.Workers["w"], qt.IsNotNil)
 	fleet.finish("w", "j.0.0.0", stager.Succeeding)
