An end is forwarded at once, not held for a batch of heartbeats

Cause: a replica held the DELETE of a worker for up to 50 ms, to share a request to the leader with heartbeats.

Change: relayer.Announce forwards ends directly.

TestAnEndIsNotHeldForABatch fails before the change.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -114,9 +114,20 @@
 		func(reply *messenger.DeployedReply) *coder.Refusal { return reply.Refusal }, &messenger.DeployedRequest{Cell: relayer.config.Cell}, nil)
 }
 
-// Announce forwards a worker's heartbeat, or that the worker has ended. Those that
-// arrive within a short time share a request.
+// Announce forwards a worker's heartbeat, or that the worker has ended. Heartbeats that
+// arrive within a short time share a request. An end is forwarded at once, since the
+// worker's tasks wait for it.
 func (relayer *Relayer) Announce(ctx context.Context, announcement *stager.Announcement) *coder.Refusal {
+	if announcement.Gone {
+		refusals, refusal := relayer.sendHeartbeats(ctx, []stager.Announcement{*announcement})
+		if refusal == nil && len(refusals) != 1 {
+			refusal = coder.Refuse(coder.Internal, "the end of a worker got %d answers", len(refusals))
+		}
+		if refusal != nil {
+			return refusal
+		}
+		return refusals[0]
+	}
 	answer, refusal := relayer.heartbeats.Beat(ctx, announcement)
 	if refusal != nil {
 		return refusal
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -37,13 +37,15 @@
 	// inquiries are sent to the relayer that follows the leader.
 	inquiries chan *messenger.InquiryMessage
 	advice    chan stager.Advice
+	// announced holds the requests with announcements.
+	announced chan []stager.Announcement
 	server    *grpc.Server
 }
 
 func startReplica(ctx context.Context, c *qt.C) *replica {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	replica := &replica{address: listener.Addr().String(), inquiries: make(chan *messenger.InquiryMessage, 1), advice: make(chan stager.Advice, 1)}
+	replica := &replica{address: listener.Addr().String(), inquiries: make(chan *messenger.InquiryMessage, 1), advice: make(chan stager.Advice, 1), announced: make(chan []stager.Announcement, 10)}
 	server := messenger.NewServer(nil)
 	replica.server = server
 	(&messenger.CellServer{
@@ -68,6 +70,10 @@
 				replica.advice <- request.Advice
 				return &messenger.StagedReply{}, nil
 			},
+			AnnounceAll: func(_ context.Context, request *messenger.AnnounceAllRequest) (*messenger.AnnounceAllReply, error) {
+				replica.announced <- request.Announcements
+				return &messenger.AnnounceAllReply{Refusals: make([]*coder.Refusal, len(request.Announcements))}, nil
+			},
 			Inquiries: replica.serveInquiries,
 		},
 	}).Register(server)
@@ -404,3 +410,23 @@
 	refusal, elapsed := submit(relayer)
 	c.Check(refusal == nil, qt.IsTrue, qt.Commentf("%v after %s", refusal, elapsed))
 }
+
+// TestAnEndIsNotHeldForABatch guards against tasks of an ended worker that wait until the
+// heartbeats of other workers have been gathered.
+func TestAnEndIsNotHeldForABatch(t *testing.T) {
+	c := qt.New(t)
+	leader := startReplica(t.Context(), c)
+	relayer := startRelayer(t.Context(), c, leader.address)
+	awaitServed(c, relayer)
+	heartbeatDone := make(chan struct{})
+	go func() {
+		defer close(heartbeatDone)
+		relayer.Announce(t.Context(), &stager.Announcement{Worker: stager.Worker{Name: "w1"}, Number: 1})
+	}()
+	time.Sleep(5 * time.Millisecond)
+	c.Check(relayer.Announce(t.Context(), &stager.Announcement{Worker: stager.Worker{Name: "w0", Life: 1}, Gone: true}) == nil, qt.IsTrue)
+	<-heartbeatDone
+	c.Assert(leader.announced, qt.HasLen, 2)
+	c.Check(<-leader.announced, qt.HasLen, 1)
+	c.Check(<-leader.announced, qt.HasLen, 1)
+}
