A late announcement does not undo a drain at the next leader

The worker got work while it drained (DRAIN), until it announced itself again.

Cause: the number of an announcement lived only in the leader's connection to the worker, while what it announced is in the log. A new leader took any number of the same incarnation for newer.

Change: the log keeps the number with the worker. A new leader ignores what is not newer than the announcement that it knows the worker from. An announcement that changed nothing isn't stored, so only those before the last change are told apart; the others say the same.

TestALateAnnouncementDoesNotUndoADrainAtTheNextLeader fails before the change: the worker is ready again.

--- a/conductor/connection.go
+++ b/conductor/connection.go
@@ -140,7 +140,7 @@
 
 func (conductor *Conductor) connect(worker *stager.Worker) *connection {
 	ctx, cancel := context.WithCancel(conductor.callContext)
-	connection := &connection{callContext: ctx, cancelCalls: cancel, name: worker.Name, incarnation: worker.Life, address: worker.Address, lastContact: conductor.config.Clock(), unresponsive: true, attempts: make(map[stager.TaskID]*attempt)}
+	connection := &connection{callContext: ctx, cancelCalls: cancel, name: worker.Name, incarnation: worker.Life, address: worker.Address, announcementNumber: worker.Number, lastContact: conductor.config.Clock(), unresponsive: true, attempts: make(map[stager.TaskID]*attempt)}
 	conductor.connections[worker.Name] = connection
 	at, _ := conductor.connectionIndex(worker.Name)
 	conductor.sortedConnections = slices.Insert(conductor.sortedConnections, at, connection)
@@ -170,6 +170,7 @@
 // handleAnnouncement admits or updates a worker from its announcement.
 func (conductor *Conductor) handleAnnouncement(announcement *stager.Announcement) *coder.Refusal {
 	worker := announcement.Worker
+	worker.Number = announcement.Number
 	connection := conductor.connections[worker.Name]
 	if connection != nil && worker.Life < connection.incarnation {
 		return coder.Refuse(coder.StaleIncarnation, "a later incarnation of the worker is known")
--- a/conductor/takeover_test.go
+++ b/conductor/takeover_test.go
@@ -75,3 +75,31 @@
 	fleet.announceWorker(t.Context(), &stager.Announcement{Worker: stager.Worker{Name: "w"}, Gone: true})
 	fleet.await("the worker's end", func() bool { return fleet.state.Workers["w"] == nil })
 }
+
+// TestALateAnnouncementDoesNotUndoADrainAtTheNextLeader guards against work that is started
+// on a draining worker: a late announcement that it is ready reaches a new leader, which
+// knows the worker from the log alone, before the worker's next one.
+func TestALateAnnouncementDoesNotUndoADrainAtTheNextLeader(t *testing.T) {
+	c := qt.New(t)
+	first := newFleet(t, nil)
+	first.announceIncarnation("w", 4, 2)
+	worker := stager.Worker{Name: "w", Life: 2, Pool: "p", Address: "w", Capacity: modeller.Resources{MilliProcessors: 4000, MemoryMiB: 1000}}
+	leaving := worker
+	leaving.Leaving = true
+	first.announceWorker(t.Context(), &stager.Announcement{Worker: leaving, Clock: workerClock(), Number: 3})
+	first.mutex.Lock()
+	state := first.state.Clone()
+	first.mutex.Unlock()
+	fleet := newFleet(t, state)
+	fleet.mutex.Lock()
+	fleet.incarnations["w"] = 2
+	fleet.mutex.Unlock()
+	fleet.announceWorker(t.Context(), &stager.Announcement{Worker: worker, Clock: workerClock(), Number: 2})
+	fleet.mutex.Lock()
+	c.Check(fleet.state.Workers["w"].Leaving, qt.IsTrue)
+	fleet.mutex.Unlock()
+	fleet.announceWorker(t.Context(), &stager.Announcement{Worker: worker, Clock: workerClock(), Number: 4})
+	fleet.mutex.Lock()
+	c.Check(fleet.state.Workers["w"].Leaving, qt.IsFalse)
+	fleet.mutex.Unlock()
+}
--- a/stager/command.go
+++ b/stager/command.go
@@ -63,6 +63,9 @@
 	Capacity   modeller.Resources
 	// Leaving is true once the worker is given no new work.
 	Leaving bool
+	// Number is that of the announcement that the other fields are from, or zero if it had
+	// none. Earlier announcements of the incarnation are out of date.
+	Number uint64 `cbor:",omitzero"`
 
 	used      modeller.Resources
 	liveTasks map[TaskID]struct{}
