A late announcement does not replace that of a worker's successor

Found by reading and reproduced by the new test: a worker came back under its id for the second time and announced that it drains. While what its first incarnation had run was stopped there, an earlier announcement (ready) of the same incarnation, or one of the incarnation in between, arrived. It took the place of the newer one: the worker was admitted as ready and got work while it drained (DRAIN), or as the incarnation in between, which had ended.

Cause: announcements are compared by incarnation and number with those of the connection's own incarnation. One of a successor was kept for later without being compared with the one kept before, and any incarnation above the connection's own became its successor, even after a later one.

Change: an incarnation below the successor is refused as stale, and of the successor's announcements the one with the highest number is kept.

TestLateAnnouncementsDoNotReplaceThatOfASuccessor fails before the change: the second incarnation is accepted and the third is not admitted.

--- a/conductor/connection.go
+++ b/conductor/connection.go
@@ -172,12 +172,12 @@
 	worker := announcement.Worker
 	worker.Number = announcement.Number
 	connection := conductor.connections[worker.Name]
-	if connection != nil && worker.Life < connection.incarnation {
+	if connection != nil && worker.Life < connection.target().Life {
 		return coder.Refuse(coder.StaleIncarnation, "a later incarnation of the worker is known")
 	}
 	if connection != nil && worker.Life > connection.incarnation {
 		if conductor.handleSuccessor(connection, worker.Life) {
-			connection.successorAnnouncement = announcement
+			connection.keepSuccessorAnnouncement(announcement)
 			return nil
 		}
 		connection = nil
@@ -387,6 +387,16 @@
 	return true
 }
 
+// keepSuccessorAnnouncement keeps the announcement of the worker's successor for
+// admitSuccessor, unless a newer one is kept.
+func (connection *connection) keepSuccessorAnnouncement(announcement *stager.Announcement) {
+	kept := connection.successorAnnouncement
+	if kept != nil && kept.Worker.Life == announcement.Worker.Life && announcement.Number != 0 && announcement.Number <= kept.Number {
+		return
+	}
+	connection.successorAnnouncement = announcement
+}
+
 // admitSuccessor handles the announcement of the worker's successor, if there
 // was one.
 func (conductor *Conductor) admitSuccessor(connection *connection) {
--- a/conductor/takeover_test.go
+++ b/conductor/takeover_test.go
@@ -7,6 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/dotterelrill/dotterelrill/coder"
+	"github.com/dotterelrill/dotterelrill/conductor"
 	"github.com/dotterelrill/dotterelrill/modeller"
 	"github.com/dotterelrill/dotterelrill/stager"
 )
@@ -103,3 +105,45 @@
 	c.Check(fleet.state.Workers["w"].Leaving, qt.IsFalse)
 	fleet.mutex.Unlock()
 }
+
+// TestLateAnnouncementsDoNotReplaceThatOfASuccessor guards against work that is started on a
+// draining worker: while tasks of its first incarnation are stopped on the third one, which
+// has announced that it drains, an earlier announcement of that one and one of the second
+// incarnation arrive.
+func TestLateAnnouncementsDoNotReplaceThatOfASuccessor(t *testing.T) {
+	c := qt.New(t)
+	fleet := newFleet(t, nil)
+	fleet.announce("w", 4)
+	fleet.submit("j", singleCoreStep(1))
+	fleet.await("the start", func() bool { return len(fleet.running["w"]) == 1 })
+	fleet.mutex.Lock()
+	order := fleet.running["w"]["j.0.0.0"]
+	fleet.onHold = func(conductor.Target, *conductor.HoldOrder) *conductor.HoldAnswer {
+		return &conductor.HoldAnswer{
+			Answer: conductor.Answer{Outcome: conductor.Obeyed, Clock: workerClock()}, Life: 3,
+			Running: []conductor.RunningAttempt{{Task: order.Task, Attempt: order.Attempt}},
+		}
+	}
+	fleet.incarnations["w"] = 3
+	fleet.mutex.Unlock()
+	announce := func(incarnation stager.Incarnation, number uint64, leaving bool) *coder.Refusal {
+		worker := stager.Worker{Name: "w", Life: incarnation, Pool: "p", Address: "w", Leaving: leaving, Capacity: modeller.Resources{MilliProcessors: 4000, MemoryMiB: 1000}}
+		refusals, refusal := fleet.conductor.AnnounceAll(t.Context(), []stager.Announcement{{Worker: worker, Clock: workerClock(), Number: number}})
+		c.Assert(refusal == nil, qt.IsTrue)
+		return refusals[0]
+	}
+	c.Check(announce(3, 5, true) == nil, qt.IsTrue)
+	c.Check(announce(3, 4, false) == nil, qt.IsTrue)
+	if refusal := announce(2, 9, false); c.Check(refusal != nil, qt.IsTrue) {
+		c.Check(refusal.Code, qt.Equals, coder.StaleIncarnation)
+	}
+	fleet.mutex.Lock()
+	fleet.onHold = nil
+	delete(fleet.running, "w")
+	fleet.mutex.Unlock()
+	fleet.await("the admission of the third incarnation", func() bool { return fleet.state.Workers["w"] != nil && fleet.state.Workers["w"].Life == 3 })
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	c.Check(fleet.state.Workers["w"].Leaving, qt.IsTrue)
+	c.Check(fleet.starts, qt.HasLen, 1)
+}
