A late heartbeat of an earlier incarnation does not end the present one

Cause: incarnations of this protocol are drawn by lot, so two can't be put into order, and any that is not the registered one counted as its successor.

Change: the state keeps the last 4,096 incarnations that were removed and have not joined again. A heartbeat of one of these, or of a process that is leaving or gone, is refused and supersedes nothing.

An incarnation that was never registered is still taken for a new one.

--- a/applier/state.go
+++ b/applier/state.go
@@ -53,6 +53,9 @@
 	// last, at most maxShapes of them. A capacity is left out if another one is
 	// at least as large in every dimension.
 	Shapes []modeller.Resources
+	// Lost holds the incarnations that were removed and have not joined again, the last one
+	// at the end, at most maxLost of them.
+	Lost []modeller.Incarnation `json:",omitempty" cbor:",omitempty"`
 	// Finished lists the finished jobs and the answered requests in order of
 	// their expiry.
 	Finished []Expiry
@@ -196,6 +199,9 @@
 
 const (
 	maxShapes = 64
+	// maxLost is more than the workers of a fleet that all restart within the time for which
+	// a message may be delayed.
+	maxLost = 4096
 	// Retention is how long a finished job and a RequestID are kept, in
 	// milliseconds. The RequestID of a submission is kept until the retention of
 	// its job ends.
--- a/applier/work.go
+++ b/applier/work.go
@@ -30,6 +30,7 @@
 		state.Workers[description.Name] = worker
 	}
 	worker.Description = description
+	state.Lost = slices.DeleteFunc(state.Lost, func(lost modeller.Incarnation) bool { return lost == description.Incarnation })
 	state.DataCentres.Learn(description.DataCentre)
 	state.recordShape(capacity)
 	state.emit(state.workerEvent(EventWorkerJoined, worker))
@@ -75,6 +76,9 @@
 		state.loseAttempt(id, state.Jobs[id.Job], truncate("the lease of worker "+string(lose.Worker)+" is over: "+lose.Reason))
 	}
 	delete(state.Workers, lose.Worker)
+	if state.Lost = append(state.Lost, lose.Incarnation); len(state.Lost) > maxLost {
+		state.Lost = state.Lost[1:]
+	}
 	state.emit(event)
 	return Result{}
 }
--- a/internal/cellrunner/heartbeat.go
+++ b/internal/cellrunner/heartbeat.go
@@ -74,16 +74,20 @@
 // description and its request to leave.
 func (leadership *leadership) ensureRegistered(ctx context.Context, heartbeat *messenger.Heartbeat) *coder.Refusal {
 	var known *modeller.WorkerDescription
-	var draining bool
+	var draining, lost bool
 	leadership.runner.stateMachine.read(func(state *applier.State) {
 		if worker := state.Workers[heartbeat.Worker.Name]; worker != nil {
 			description := worker.Description
 			known = &description
 			draining = worker.State == modeller.WorkerDraining
+			lost = slices.Contains(state.Lost, heartbeat.Worker.Incarnation)
 		}
 	})
 	if known != nil && known.Incarnation != heartbeat.Worker.Incarnation {
-		leadership.leaser.Supersede(known.Name, known.Incarnation)
+		// A heartbeat that an entry has passed on late may be from an earlier incarnation.
+		if !lost && !heartbeat.Gone && !heartbeat.Leaving {
+			leadership.leaser.Supersede(known.Name, known.Incarnation)
+		}
 		return coder.Refuse(coder.StaleIncarnation, "the lease of the previous incarnation has not expired yet")
 	}
 	if known == nil && (heartbeat.Gone || heartbeat.Leaving) {
