A late order about a data centre undoes no later one

Cause: the orders say whether a data centre is to be evacuated, not which change they are meant to follow. Orders on the product's own interface bear a RequestID, so a copy is answered as the first was.

Change: an order that would undo a change has to name it by its time. An order that is in force already, and the first one about a data centre, are acknowledged as before. Refusal.Incarnation becomes Refusal.Name, for both codes.

--- a/coder/code.go
+++ b/coder/code.go
@@ -69,6 +69,7 @@
 	AlreadyDone        Code = 304
 	MemberConflict     Code = 305
 	IncarnationUnnamed Code = 306
+	ChangeUnnamed      Code = 307
 )
 
 // Codes of exceeded limits and missing capacity.
@@ -160,6 +161,7 @@
 	{AlreadyDone, "AlreadyDone", http.StatusConflict, false, false, false, "The job already has its outcome."},
 	{MemberConflict, "MemberConflict", http.StatusConflict, false, true, false, "Another membership change is in progress."},
 	{IncarnationUnnamed, "IncarnationUnnamed", http.StatusTemporaryRedirect, false, false, false, "The end of a worker that runs tasks does not name its incarnation; the answer gives the one to name."},
+	{ChangeUnnamed, "ChangeUnnamed", http.StatusTemporaryRedirect, false, false, false, "The order would undo a change that it does not name; the answer gives the time of the change to name."},
 
 	{NoCapacity, "NoCapacity", http.StatusConflict, false, true, false, "The worker's processors, memory or accelerators would be over-committed."},
 	{NoSlots, "NoSlots", http.StatusConflict, false, true, false, "The worker has no free slot."},
@@ -249,9 +251,10 @@
 	// Leader is the address of the leader if Code is NotLeader and the leader is
 	// known, otherwise empty.
 	Leader string
-	// Incarnation is the worker's incarnation if Code is IncarnationUnnamed, otherwise
-	// zero.
-	Incarnation int64 `json:",omitzero" cbor:",omitzero"`
+	// Name is what the request has to name: the worker's incarnation if Code is
+	// IncarnationUnnamed, or the Unix millisecond of the change if it is ChangeUnnamed. It is
+	// zero otherwise.
+	Name int64 `json:",omitzero" cbor:",omitzero"`
 }
 
 // Refuse returns a Refusal whose Detail is formatted as by fmt.Sprintf.
--- a/conductor/evacuation.go
+++ b/conductor/evacuation.go
@@ -18,6 +18,9 @@
 // start is sent to the workers of an evacuated data centre; one that is on its way is
 // answered or given up within maxStarts times startTimeout.
 //
+// An order may arrive late, after others. One that would undo a change has to name it, so
+// that its sender has learned of the change.
+//
 // An order that is in force already is committed again rather than only acknowledged: a
 // replica that no longer leads without knowing it could otherwise acknowledge one that a
 // later leader has withdrawn.
@@ -29,6 +32,13 @@
 			return coder.Refuse(coder.UnknownDataCentre, "no data centre %s", name)
 		}
 		repeated := conductor.state.DataCentres.Evacuated(name) != evacuate.Withdrawn
+		if change := conductor.state.DataCentres[name].Changed(); !repeated && evacuate.After != change {
+			logger.Info(conductor.config.Logger, "evacuation refused", "DataCentre", name, "Withdrawn", evacuate.Withdrawn, "Reason", "another change is the last one",
+				"Named", int64(evacuate.After), "Changed", int64(change))
+			refusal := coder.Refuse(coder.ChangeUnnamed, "data centre %s was changed at %d, which the order has to name", name, change)
+			refusal.Name = int64(change)
+			return refusal
+		}
 		if err := conductor.applyCommand(&stager.Command{Evacuate: evacuate}); err != nil {
 			return toRefusal(coder.Malformed, err)
 		}
--- a/conductor/request.go
+++ b/conductor/request.go
@@ -187,7 +187,7 @@
 			return nil
 		}
 		refusal := coder.Refuse(coder.IncarnationUnnamed, "the worker runs tasks; its end has to name incarnation %d", current)
-		refusal.Incarnation = int64(current)
+		refusal.Name = int64(current)
 		return refusal
 	}
 	if named != 0 && named != current {
--- a/stager/evacuation.go
+++ b/stager/evacuation.go
@@ -1,12 +1,19 @@
 package stager
 
-import "github.com/dotterelrill/dotterelrill/modeller"
+import (
+	"cmp"
+
+	"github.com/dotterelrill/dotterelrill/modeller"
+)
 
 // Evacuate takes a data centre out of service, or withdraws that order.
 type Evacuate struct {
 	DataCentre modeller.DataCentreName
 	// Withdrawn is true if the data centre is put back into service.
 	Withdrawn bool `cbor:",omitzero"`
+	// After is DataCentre.Changed of the state that the order is meant to change, or zero if
+	// it does not name one.
+	After modeller.Millis `cbor:",omitzero"`
 }
 
 // DataCentre is what is known of a data centre. Its times are in Unix milliseconds.
@@ -18,6 +25,12 @@
 	Restored modeller.Millis `cbor:",omitzero"`
 }
 
+// Changed returns when the data centre was last evacuated or restored, or zero if it never
+// was. It tells the changes of a data centre apart.
+func (dataCentre DataCentre) Changed() modeller.Millis {
+	return cmp.Or(dataCentre.Evacuated, dataCentre.Restored)
+}
+
 // DataCentres holds the known data centres: those of workers that were ever admitted,
 // and those that were ever evacuated.
 type DataCentres map[modeller.DataCentreName]DataCentre
