--- a/internal/cellrunner/heartbeat.go
+++ b/internal/cellrunner/heartbeat.go
@@ -84,10 +84,11 @@
 		}
 	})
 	if known != nil && known.Incarnation != heartbeat.Worker.Incarnation {
-		// A heartbeat that an entry has passed on late may be from an earlier incarnation.
-		if !lost && !heartbeat.Gone && !heartbeat.Leaving {
-			leadership.leaser.Supersede(known.Name, known.Incarnation)
+		if lost || heartbeat.Gone || heartbeat.Leaving {
+			// An entry may have passed it on late, after the present incarnation joined.
+			return coder.Refuse(coder.StaleIncarnation, "another incarnation of the worker is registered")
 		}
+		leadership.leaser.Supersede(known.Name, known.Incarnation)
 		return coder.Refuse(coder.StaleIncarnation, "the lease of the previous incarnation has not expired yet")
 	}
 	if known == nil && (heartbeat.Gone || heartbeat.Leaving) {
