--- a/internal/cellrunner/members_test.go
+++ b/internal/cellrunner/members_test.go
@@ -11,13 +11,19 @@
 	"github.com/dotterelrill/dotterelrill/journaler"
 )
 
+// nextMembers is NextMembers of a cell for which it is not known how many losses it has to
+// bear.
+func nextMembers(members []journaler.Member, caughtUp, silent func(journaler.ReplicaID) bool) []journaler.Member {
+	return cellrunner.NextMembers(members, caughtUp, silent, 0)
+}
+
 // settleMembership applies membership changes until none is due, and returns the
 // number of members and of voters.
 func settleMembership(c *qt.C, members []journaler.Member) (int, int) {
 	caughtUp := func(journaler.ReplicaID) bool { return true }
 	silent := func(journaler.ReplicaID) bool { return false }
 	for range 20 {
-		next := cellrunner.NextMembers(members, caughtUp, silent)
+		next := nextMembers(members, caughtUp, silent)
 		if next == nil {
 			voters := 0
 			for _, member := range members {
@@ -76,7 +82,7 @@
 		alive := func(id journaler.ReplicaID) bool { return id != "1" }
 		gone := func(id journaler.ReplicaID) bool { return id == "1" }
 		changes := 0
-		for next := cellrunner.NextMembers(members, alive, gone); next != nil; next = cellrunner.NextMembers(members, alive, gone) {
+		for next := nextMembers(members, alive, gone); next != nil; next = nextMembers(members, alive, gone) {
 			members = next
 			changes++
 			c.Assert(changes <= 2, qt.IsTrue)
@@ -89,7 +95,7 @@
 			c.Check(member.Voter, qt.Equals, member.ID != "1", qt.Commentf("%s of %d", member.ID, voters))
 		}
 		c.Check(count, qt.Equals, voters)
-		c.Check(cellrunner.NextMembers(members, func(journaler.ReplicaID) bool { return true }, func(journaler.ReplicaID) bool { return false }), qt.IsNil,
+		c.Check(nextMembers(members, func(journaler.ReplicaID) bool { return true }, func(journaler.ReplicaID) bool { return false }), qt.IsNil,
 			qt.Commentf("a voter that returns stays a learner"))
 	}
 }
@@ -103,7 +109,7 @@
 	for voters := 3; voters <= 7; voters += 2 {
 		members := append(makeMembers(voters, 1), journaler.Member{ID: "new", Address: "a1"})
 		caughtUp := func(id journaler.ReplicaID) bool { return id != "1" && id != "new" && id != "0" }
-		for next := members; next != nil; next = cellrunner.NextMembers(next, caughtUp, heard) {
+		for next := members; next != nil; next = nextMembers(next, caughtUp, heard) {
 			members = next
 		}
 		var got []journaler.ReplicaID
@@ -135,7 +141,7 @@
 	for voters := 3; voters <= 7; voters += 2 {
 		members := makeMembers(voters, 1)
 		want := tolerated(members)
-		for next := members; next != nil; next = cellrunner.NextMembers(next, alive, gone) {
+		for next := members; next != nil; next = nextMembers(next, alive, gone) {
 			c.Check(tolerated(next), qt.Equals, want, qt.Commentf("%+v", next))
 		}
 	}
@@ -148,12 +154,12 @@
 	none := func(journaler.ReplicaID) bool { return false }
 	allButTheLeader := func(id journaler.ReplicaID) bool { return id != "0" }
 	for _, voters := range []int{4, 6} {
-		next := cellrunner.NextMembers(makeMembers(voters, 0), allButTheLeader, none)
+		next := nextMembers(makeMembers(voters, 0), allButTheLeader, none)
 		c.Assert(next, qt.HasLen, voters)
 		c.Check(next[0].Voter, qt.IsTrue, qt.Commentf("the leader keeps its vote"))
-		c.Check(cellrunner.NextMembers(next, allButTheLeader, none), qt.IsNil)
+		c.Check(nextMembers(next, allButTheLeader, none), qt.IsNil)
 	}
-	c.Check(cellrunner.NextMembers(makeMembers(2, 0), allButTheLeader, none), qt.IsNil, qt.Commentf("entries would be on one disk"))
+	c.Check(nextMembers(makeMembers(2, 0), allButTheLeader, none), qt.IsNil, qt.Commentf("entries would be on one disk"))
 }
 
 // TestASilentVoterKeepsItsVoteWithoutALearner checks that a voter that is only silent
@@ -162,8 +168,8 @@
 	c := qt.New(t)
 	gone := func(id journaler.ReplicaID) bool { return id == "1" }
 	alive := func(id journaler.ReplicaID) bool { return id == "0" }
-	c.Check(cellrunner.NextMembers(makeMembers(3, 0), alive, gone), qt.IsNil)
-	c.Check(cellrunner.NextMembers(makeMembers(3, 1), alive, gone), qt.IsNil, qt.Commentf("the learner has not caught up"))
+	c.Check(nextMembers(makeMembers(3, 0), alive, gone), qt.IsNil)
+	c.Check(nextMembers(makeMembers(3, 1), alive, gone), qt.IsNil, qt.Commentf("the learner has not caught up"))
 }
 
 // TestReplacementsAtOtherAddressesLeaveNoLostVote replaces one replica after another by a
@@ -183,7 +189,7 @@
 			successor := fmt.Sprint("successor", replacement)
 			members = append(members, journaler.Member{ID: journaler.ReplicaID(successor), Address: successor})
 			changes := 0
-			for next := cellrunner.NextMembers(members, caughtUp, silent); next != nil; next = cellrunner.NextMembers(members, caughtUp, silent) {
+			for next := nextMembers(members, caughtUp, silent); next != nil; next = nextMembers(members, caughtUp, silent) {
 				members = next
 				changes++
 				c.Assert(changes <= 4, qt.IsTrue, qt.Commentf("%+v", members))
@@ -210,7 +216,7 @@
 			return id == "2" || id == "4" || id == "new" && successorCaughtUp || id == "spare" && !successorCaughtUp
 		}
 		members := append(makeMembers(5, 0), journaler.Member{ID: "spare", Address: "spare"}, journaler.Member{ID: "new", Address: "a3"})
-		for next := members; next != nil; next = cellrunner.NextMembers(next, caughtUp, silent) {
+		for next := members; next != nil; next = nextMembers(next, caughtUp, silent) {
 			members = next
 		}
 		var got []journaler.ReplicaID
--- a/internal/cellrunner/runner.go
+++ b/internal/cellrunner/runner.go
@@ -361,7 +361,7 @@
 
 func (runner *Runner) advanceMembership(ctx context.Context) {
 	node := runner.node.Load()
-	next := NextMembers(node.Status().Members, node.CaughtUp, node.Silent)
+	next := NextMembers(node.Status().Members, node.CaughtUp, node.Silent, runner.settings.lossesBorne())
 	if next == nil {
 		return
 	}
@@ -384,9 +384,13 @@
 // successor may be at another address, or if a new replica has taken its address, which
 // shows that its disk is gone. A silent one stays a member, and catches up if it returns.
 // The learner is promoted first: with one voter fewer, the cell would have no quorum if the
-// leader were lost between the two changes, even if the silent voter had returned. A lost
-// voter without a caught-up learner keeps its vote, so that entries stay on as many disks.
-func NextMembers(members []journaler.Member, caughtUp, silent func(journaler.ReplicaID) bool) []journaler.Member {
+// leader were lost between the two changes, even if the silent voter had returned.
+//
+// A lost voter without a caught-up learner keeps its vote while entries would otherwise be on
+// too few disks. With lossesBorne disks that may be lost at once, one more than that hold each
+// entry if twice as many and one vote. Votes beyond these only raise the quorum: while the
+// cell could bear fewer losses, lost voters are demoted. If lossesBorne is zero, none is.
+func NextMembers(members []journaler.Member, caughtUp, silent func(journaler.ReplicaID) bool, lossesBorne int) []journaler.Member {
 	voters := countMembers(members, func(member journaler.Member) bool { return member.Voter })
 	lost := lostVoters(members, caughtUp, silent)
 	if len(lost) > 0 && voters%2 == 0 && voters > minVoters {
@@ -407,6 +411,9 @@
 			return next
 		}
 	}
+	if lossesBorne > 0 && len(lost) > 0 && voters > 2*lossesBorne+1 && bearable(voters, len(lost)) < lossesBorne {
+		return withoutVote(members, lost, caughtUp)
+	}
 	// A learner that lags for a moment may get a vote soon; a silent one may not return.
 	limit = maxVoters(countMembers(members, func(member journaler.Member) bool { return member.Voter || !silent(member.ID) }))
 	if len(lost) == 0 && voters > max(limit, minVoters) {
@@ -415,6 +422,9 @@
 	return nil
 }
 
+// bearable returns how many more voters may be lost before the rest is no quorum.
+func bearable(voters, lost int) int { return voters - lost - (voters/2 + 1) }
+
 // lostVoters returns the voters that are lost, first those whose disk is gone.
 func lostVoters(members []journaler.Member, caughtUp, silent func(journaler.ReplicaID) bool) []journaler.ReplicaID {
 	var emptied, quiet []journaler.ReplicaID
--- a/internal/cellrunner/settings_test.go
+++ b/internal/cellrunner/settings_test.go
@@ -31,3 +31,15 @@
 		c.Check(faults[0].Problem, qt.Equals, want.problem)
 	}
 }
+
+// TestADeploymentWithoutLossesToBearIsValid guards against a replica that does not start where
+// the deployment does not tell how many losses it has to bear, so that the keys are rendered
+// without a value.
+func TestADeploymentWithoutLossesToBearIsValid(t *testing.T) {
+	c := qt.New(t)
+	settings := &cellrunner.Settings{}
+	faults := settings.Set().Parse("cell.ini", []byte("[Cell]\nName = c\nAddress = 127.0.0.1:1\nBootstrap = 127.0.0.1:1\nDataFolder = "+t.TempDir()+
+		"\nMetricsAddress = 127.0.0.1:2\nLossesBorne = \nLossesBorneDataCentres = \nLossesBorneRegions = \n"))
+	c.Check(faults, qt.HasLen, 0)
+	c.Check(settings.LossesBorne, qt.Equals, int64(0))
+}
