--- a/conductor/evacuation_test.go
+++ b/conductor/evacuation_test.go
@@ -444,30 +444,30 @@
 	fleet := newFleet(t, nil)
 	fleet.announceIn("south", 1, "s", 0)
 	fleet.mustEvacuate("s", false)
-	evacuated := fleet.mustBeUnnamed("s", true, 0)
+	evacuated := fleet.mustBeUnnamed(true, 0)
 	fleet.mustEvacuate("s", true)
 	// Both orders have got an ack by other ways, and arrive once more.
-	restored := fleet.mustBeUnnamed("s", false, 0)
+	restored := fleet.mustBeUnnamed(false, 0)
 	fleet.mustEvacuate("s", true)
 	time.Sleep(2 * time.Millisecond)
 	fleet.mustEvacuate("s", false)
-	fleet.mustBeUnnamed("s", true, 0)
-	fleet.mustBeUnnamed("s", true, evacuated)
-	fleet.mustBeUnnamed("s", true, restored)
+	fleet.mustBeUnnamed(true, 0)
+	fleet.mustBeUnnamed(true, evacuated)
+	fleet.mustBeUnnamed(true, restored)
 	fleet.mustEvacuate("s", false)
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
 	fleet.c.Check(fleet.state.DataCentres.Evacuated("s"), qt.IsTrue)
 }
 
-// mustBeUnnamed checks that an order which names a change, or none, is refused with the last
+// mustBeUnnamed checks that an order about data centre s which names a change, or none, is refused with the last
 // change to name, and returns that.
-func (fleet *fleet) mustBeUnnamed(dataCentre modeller.DataCentreName, withdrawn bool, after modeller.Millis) modeller.Millis {
-	refusal := fleet.conductor.Evacuate(context.Background(), &stager.Evacuate{DataCentre: dataCentre, Withdrawn: withdrawn, After: after})
+func (fleet *fleet) mustBeUnnamed(withdrawn bool, after modeller.Millis) modeller.Millis {
+	refusal := fleet.conductor.Evacuate(context.Background(), &stager.Evacuate{DataCentre: "s", Withdrawn: withdrawn, After: after})
 	fleet.c.Assert(refusal != nil, qt.IsTrue, qt.Commentf("the order was acknowledged"))
 	fleet.c.Check(refusal.Code, qt.Equals, coder.ChangeUnnamed)
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
-	fleet.c.Check(modeller.Millis(refusal.Name), qt.Equals, fleet.state.DataCentres[dataCentre].Changed())
+	fleet.c.Check(modeller.Millis(refusal.Name), qt.Equals, fleet.state.DataCentres["s"].Changed())
 	return modeller.Millis(refusal.Name)
 }
--- a/internal/cellrunner/heartbeat.go
+++ b/internal/cellrunner/heartbeat.go
@@ -84,12 +84,7 @@
 		}
 	})
 	if known != nil && known.Incarnation != heartbeat.Worker.Incarnation {
-		if lost || heartbeat.Gone || heartbeat.Leaving {
-			// An entry may have passed it on late, after the present incarnation joined.
-			return coder.Refuse(coder.StaleIncarnation, "another incarnation of the worker is registered")
-		}
-		leadership.leaser.Supersede(known.Name, known.Incarnation)
-		return coder.Refuse(coder.StaleIncarnation, "the lease of the previous incarnation has not expired yet")
+		return leadership.refuseOtherIncarnation(heartbeat, known, lost)
 	}
 	if known == nil && (heartbeat.Gone || heartbeat.Leaving) {
 		return nil
@@ -115,6 +110,17 @@
 	return nil
 }
 
+// refuseOtherIncarnation refuses a heartbeat of an incarnation that is not the registered one.
+// A new process supersedes that. But an entry may have passed the heartbeat on late, after the
+// registered incarnation joined: one that was lost before, or that leaves, supersedes nothing.
+func (leadership *leadership) refuseOtherIncarnation(heartbeat *messenger.Heartbeat, registered *modeller.WorkerDescription, lost bool) *coder.Refusal {
+	if lost || heartbeat.Gone || heartbeat.Leaving {
+		return coder.Refuse(coder.StaleIncarnation, "another incarnation of the worker is registered")
+	}
+	leadership.leaser.Supersede(registered.Name, registered.Incarnation)
+	return coder.Refuse(coder.StaleIncarnation, "the lease of the previous incarnation has not expired yet")
+}
+
 func (leadership *leadership) proposeForWorker(ctx context.Context, heartbeat *messenger.Heartbeat, command *applier.Command) *coder.Refusal {
 	result, err := leadership.propose(ctx, "worker "+string(heartbeat.Worker.Name), command)
 	if err != nil {
--- a/internal/cellrunner/runner.go
+++ b/internal/cellrunner/runner.go
@@ -411,12 +411,22 @@
 			return next
 		}
 	}
-	if lossesBorne > 0 && len(lost) > 0 && voters > 2*lossesBorne+1 && bearable(voters, len(lost)) < lossesBorne {
-		return withoutVote(members, lost, caughtUp)
+	return withoutExcessVote(members, lost, caughtUp, silent, lossesBorne)
+}
+
+// withoutExcessVote returns the membership with one vote fewer, or nil if none is in excess.
+// No learner has caught up that could take a vote over.
+func withoutExcessVote(members []journaler.Member, lost []journaler.ReplicaID, caughtUp, silent func(journaler.ReplicaID) bool, lossesBorne int) []journaler.Member {
+	voters := countMembers(members, func(member journaler.Member) bool { return member.Voter })
+	if len(lost) > 0 {
+		if lossesBorne > 0 && voters > 2*lossesBorne+1 && bearable(voters, len(lost)) < lossesBorne {
+			return withoutVote(members, lost, caughtUp)
+		}
+		return nil
 	}
 	// A learner that lags for a moment may get a vote soon; a silent one may not return.
-	limit = maxVoters(countMembers(members, func(member journaler.Member) bool { return member.Voter || !silent(member.ID) }))
-	if len(lost) == 0 && voters > max(limit, minVoters) {
+	limit := maxVoters(countMembers(members, func(member journaler.Member) bool { return member.Voter || !silent(member.ID) }))
+	if voters > max(limit, minVoters) {
 		return withoutSurplusVote(members, caughtUp)
 	}
 	return nil
--- a/internal/cellrunner/settings.go
+++ b/internal/cellrunner/settings.go
@@ -95,9 +95,7 @@
 	set.Addresses(&settings.Bootstrap, configurer.Key{Section: "Cell", Name: "Bootstrap", Required: true, Help: "Addresses of the cell's replicas, including this one. Replicas with empty data folders form a new cell of these addresses once; after that, a replica only contacts them to join or to announce itself."})
 	set.Bool(&settings.Form, configurer.Key{Section: "Cell", Name: "Form", Default: "true", Help: "Whether a replica with an empty data folder may form a new cell from Bootstrap; if false, it only joins an existing one."})
 	set.Folder(&settings.DataFolder, configurer.Key{Section: "Cell", Name: "DataFolder", Required: true, Help: "Folder for all persistent data of the replica."})
-	set.Int(&settings.LossesBorne, 0, 100, configurer.Key{Section: "Cell", Name: "LossesBorne", Help: "How many replicas the cell has to bear the loss of at once, with their disks. Lost replicas without a successor then lose their votes as long as twice as many and one more remain. With 0 or empty they keep them."})
-	set.Int(&settings.LossesBorneDataCentres, 0, 100, configurer.Key{Section: "Cell", Name: "LossesBorneDataCentres", Help: "How many data centres the cell has to bear the loss of at once. If it is above 0, the number of replicas lost with them is not known, and LossesBorne has no effect."})
-	set.Int(&settings.LossesBorneRegions, 0, 100, configurer.Key{Section: "Cell", Name: "LossesBorneRegions", Help: "The same for regions."})
+	settings.declareLosses(set)
 	set.Address(&settings.MetricsAddress, configurer.Key{Section: "Cell", Name: "MetricsAddress", Required: true, Help: "Address of the endpoints /metrics, /healthy and /ready."})
 	set.Duration(&settings.ShutdownTimeout, time.Second, time.Minute, configurer.Key{Section: "Cell", Name: "ShutdownTimeout", Default: "10s", Help: "Timeout of a graceful stop; the transfer of leadership may take half of it."})
 	set.Duration(&settings.HeartbeatInterval, 10*time.Millisecond, time.Second, configurer.Key{Section: "Log", Name: "HeartbeatInterval", Default: "100ms", Help: "Interval between the leader's heartbeats to the other replicas."})
@@ -131,6 +129,12 @@
 	return set
 }
 
+func (settings *Settings) declareLosses(set *configurer.Set) {
+	set.Int(&settings.LossesBorne, 0, 100, configurer.Key{Section: "Cell", Name: "LossesBorne", Help: "How many replicas the cell has to bear the loss of at once, with their disks. Lost replicas without a successor then lose their votes as long as twice as many and one more remain. With 0 or empty they keep them."})
+	set.Int(&settings.LossesBorneDataCentres, 0, 100, configurer.Key{Section: "Cell", Name: "LossesBorneDataCentres", Help: "How many data centres the cell has to bear the loss of at once. If it is above 0, the number of replicas lost with them is not known, and LossesBorne has no effect."})
+	set.Int(&settings.LossesBorneRegions, 0, 100, configurer.Key{Section: "Cell", Name: "LossesBorneRegions", Help: "The same for regions."})
+}
+
 func (settings *Settings) check() []configurer.Fault {
 	var faults []configurer.Fault
 	if settings.Address == settings.MetricsAddress {
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -421,7 +421,7 @@
 	heartbeatDone := make(chan struct{})
 	go func() {
 		defer close(heartbeatDone)
-		relayer.Announce(t.Context(), &stager.Announcement{Worker: stager.Worker{Name: "w1"}, Number: 1})
+		c.Check(relayer.Announce(t.Context(), &stager.Announcement{Worker: stager.Worker{Name: "w1"}, Number: 1}) == nil, qt.IsTrue)
 	}()
 	time.Sleep(5 * time.Millisecond)
 	c.Check(relayer.Announce(t.Context(), &stager.Announcement{Worker: stager.Worker{Name: "w0", Life: 1}, Gone: true}) == nil, qt.IsTrue)
